--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! main
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -0,0 +1,288 @@
+use hawthornstack_decisions::{
+    host::ExecutionReport,
+    identity::DatabaseName,
+    outcomes::ResultCode,
+    requests::{RequestArrival, RequestKind},
+};
+use hawthornstack_wire::reports::POSITION_STATEMENT;
+use tokio::time::timeout_at;
+
+use super::{
+    answer_writer::AnswerWriter,
+    caller_listener::CallerContext,
+    caller_state::CallerState,
+    cancel_registry::CancelTicket,
+    extended_batch::{BatchItem, BatchRequest},
+    transaction::OpenTransaction,
+};
+use crate::{
+    host::{RequestHandle, RequestSignal},
+    upstreams::{ReplySegment, UpstreamConnection, UpstreamError, encode_query},
+};
+
+/// SQLSTATE of a database that does not accept writes.
+const READ_ONLY_SQLSTATE: &[u8] = b"C25006\0";
+
+/// What is sent to a database.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum RequestWork<'a> {
+    /// A text by the simple protocol.
+    Simple(&'a str),
+    /// Messages of the extended protocol.
+    Batch(&'a [BatchItem]),
+}
+
+/// What came back from a database.
+pub(super) struct WorkAnswer {
+    pub(super) answer: AnswerWriter,
+    pub(super) segment: ReplySegment,
+    pub(super) position: Option<hawthornstack_decisions::positions::LogPosition>,
+}
+
+/// How a request for one connection ended.
+pub(super) enum RunEnd {
+    /// The answer can be given.
+    Answered(AnswerWriter),
+    /// It did not run to an answer.
+    Refused(ResultCode),
+}
+
+/// Runs requests of one caller.
+pub(super) struct RequestRunner<'a> {
+    pub(super) context: &'a CallerContext,
+    pub(super) cancel: &'a CancelTicket,
+}
+
+/// Sends work over a connection and reads its answer, with the position after
+/// it if wanted.
+pub(super) async fn perform(
+    work: RequestWork<'_>,
+    connection: &mut UpstreamConnection,
+    with_position: bool,
+) -> Result<WorkAnswer, UpstreamError> {
+    let mut request = BatchRequest::default();
+    match work {
+        RequestWork::Simple(sql) => encode_query(sql, &mut request.bytes)?,
+        RequestWork::Batch(items) => request = BatchRequest::encode(items, connection)?,
+    }
+    let mut answers = 1;
+    if with_position {
+        encode_query(POSITION_STATEMENT, &mut request.bytes)?;
+        answers = 2;
+    }
+    let mut segments = connection.exchange(&request.bytes, answers).await?;
+    let position = match with_position {
+        true => segments.pop().and_then(|segment| segment.position()),
+        false => None,
+    };
+    let segment = segments.pop().unwrap_or_default();
+    let mut answer = AnswerWriter::default();
+    match work {
+        RequestWork::Simple(_) => relay_simple(&segment, &mut answer),
+        RequestWork::Batch(_) => request.relay(&segment, connection, &mut answer),
+    }
+    Ok(WorkAnswer { answer, segment, position })
+}
+
+/// Hands an answer on without its `ReadyForQuery` and the database's own
+/// parameters.
+fn relay_simple(segment: &ReplySegment, answer: &mut AnswerWriter) {
+    for (_, frame) in segment.iter().filter(|(kind, _)| !matches!(kind, b'Z' | b'S')) {
+        answer.raw(frame);
+    }
+}
+
+/// True if the database refused the work because it does not accept writes, so
+/// that nothing of it ran.
+fn refused_as_read_only(segment: &ReplySegment) -> bool {
+    segment.iter().any(|(kind, frame)| {
+        let at = |window: &[u8]| window == READ_ONLY_SQLSTATE;
+        kind == b'E' && frame.windows(READ_ONLY_SQLSTATE.len()).any(at)
+    })
+}
+
+impl RequestRunner<'_> {
+    fn arrival(&self, state: &CallerState, kind: RequestKind) -> RequestArrival {
+        RequestArrival {
+            request: self.context.numbers.next(),
+            group: state.group.clone(),
+            kind,
+            mark: state.mark_source(),
+            session: state.named.then(|| state.session.clone()),
+            deadline: self.context.clock.now() + state.timeout,
+        }
+    }
+
+    /// Runs work outside a transaction.
+    pub(super) async fn run(
+        &self,
+        state: &mut CallerState,
+        work: RequestWork<'_>,
+        kind: RequestKind,
+    ) -> RunEnd {
+        let arrival = self.arrival(state, kind);
+        let deadline = self.context.clock.instant(arrival.deadline);
+        let mut handle = RequestHandle::arrive(&self.context.host, arrival);
+        let mut held = AnswerWriter::default();
+        loop {
+            match handle.next().await {
+                RequestSignal::Conclude(conclusion) => {
+                    state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
+                    return match conclusion.result {
+                        ResultCode::Done => RunEnd::Answered(held),
+                        code => RunEnd::Refused(code),
+                    };
+                }
+                RequestSignal::Dispatch { database, address, .. } => {
+                    let group = &state.group;
+                    let opened = self.context.store.check_out(&database, address, group).await;
+                    let Ok(mut connection) = opened else {
+                        handle.report(ExecutionReport::NotRun);
+                        continue;
+                    };
+                    let aged = matches!(kind, RequestKind::AgedRead(_));
+                    let performed = tokio::select! {
+                        () = self.cancel.notify.notified() => {
+                            handle.report(ExecutionReport::RolledBack);
+                            return RunEnd::Refused(ResultCode::Cancelled);
+                        }
+                        performed = timeout_at(deadline, perform(work, &mut connection, !aged)) => {
+                            performed.unwrap_or(Err(UpstreamError::Late))
+                        }
+                    };
+                    let (report, answer) = judge(kind, performed);
+                    if let Some(answer) = answer {
+                        held = answer;
+                        self.context.store.check_in(&database, connection);
+                    }
+                    handle.report(report);
+                }
+            }
+        }
+    }
+
+    /// Opens a transaction on a database.
+    pub(super) async fn open_transaction(
+        &self,
+        state: &mut CallerState,
+        begin: &str,
+        read_only: bool,
+    ) -> Result<OpenTransaction, ResultCode> {
+        let kind = state.request_kind(!read_only);
+        let arrival = self.arrival(state, kind);
+        let mut handle = RequestHandle::arrive(&self.context.host, arrival);
+        loop {
+            match handle.next().await {
+                RequestSignal::Conclude(conclusion) => return Err(conclusion.result),
+                RequestSignal::Dispatch { database, address, .. } => {
+                    match self.begin(state, begin, &database, address).await {
+                        Ok(connection) => {
+                            return Ok(OpenTransaction {
+                                handle,
+                                connection,
+                                database,
+                                read_only,
+                                status: b'T',
+                            });
+                        }
+                        Err(_) => handle.report(ExecutionReport::NotRun),
+                    }
+                }
+            }
+        }
+    }
+
+    async fn begin(
+        &self,
+        state: &CallerState,
+        begin: &str,
+        database: &DatabaseName,
+        address: std::net::SocketAddr,
+    ) -> Result<UpstreamConnection, UpstreamError> {
+        let mut connection = self.context.store.check_out(database, address, &state.group).await?;
+        let segment = connection.query(begin).await?;
+        match segment.status {
+            b'T' => Ok(connection),
+            _ => Err(UpstreamError::Refused { text: "BEGIN".to_owned() }),
+        }
+    }
+
+    /// Ends a transaction with the caller's `COMMIT` or `ROLLBACK` and returns
+    /// the tag to answer with.
+    pub(super) async fn end_transaction(
+        &self,
+        state: &mut CallerState,
+        open: OpenTransaction,
+        sql: &str,
+    ) -> Result<String, ResultCode> {
+        let OpenTransaction { mut handle, mut connection, database, read_only, .. } = open;
+        let performed = perform(RequestWork::Simple(sql), &mut connection, true).await;
+        let ended = performed.as_ref().ok().filter(|done| done.segment.status == b'I');
+        let tag = ended.and_then(|done| done.segment.last_tag());
+        let committed = tag.as_deref() == Some("COMMIT") && !read_only;
+        let position = ended.and_then(|done| done.position);
+        if ended.is_some() {
+            self.context.store.check_in(&database, connection);
+        }
+        match (tag, position) {
+            (Some(tag), Some(position)) if committed => {
+                handle.report(ExecutionReport::Written(position));
+                self.conclude(state, handle).await.map(|()| tag)
+            }
+            (Some(tag), _) if !committed => {
+                handle.report(ExecutionReport::RolledBack);
+                Ok(tag)
+            }
+            _ => {
+                handle.report(ExecutionReport::Lost);
+                match self.conclude(state, handle).await {
+                    Ok(()) => Err(ResultCode::ConnectionLost),
+                    Err(code) => Err(code),
+                }
+            }
+        }
+    }
+
+    async fn conclude(
+        &self,
+        state: &mut CallerState,
+        handle: RequestHandle,
+    ) -> Result<(), ResultCode> {
+        let mut handle = handle;
+        loop {
+            if let RequestSignal::Conclude(conclusion) = handle.next().await {
+                state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
+                return match conclusion.result {
+                    ResultCode::Done => Ok(()),
+                    code => Err(code),
+                };
+            }
+        }
+    }
+}
+
+/// What to report of work outside a transaction, and its answer if its
+/// connection can be used again.
+fn judge(
+    kind: RequestKind,
+    performed: Result<WorkAnswer, UpstreamError>,
+) -> (ExecutionReport, Option<AnswerWriter>) {
+    let done = match performed {
+        Ok(done) if done.segment.status == b'I' => done,
+        Ok(_) => return (ExecutionReport::Lost, None),
+        Err(error) => {
+            log::debug!(target: "upstreams", "A request failed: {error}.");
+            return (ExecutionReport::Lost, None);
+        }
+    };
+    let writes = kind == RequestKind::Write;
+    if writes && refused_as_read_only(&done.segment) {
+        return (ExecutionReport::NotRun, Some(done.answer));
+    }
+    let report = match (writes && !done.segment.failed, done.position) {
+        (true, Some(position)) => ExecutionReport::Written(position),
+        (true, None) => ExecutionReport::Lost,
+        (false, position) => ExecutionReport::Read(position),
+    };
+    (report, Some(done.answer))
+}
--- /dev/null
+++ b/crates/daemon/src/host/host_service.rs
@@ -0,0 +1,236 @@
+use std::{collections::HashMap, net::SocketAddr};
+
+use hawthornstack_decisions::{
+    agreement::JournalRecord,
+    host::{HostEffect, HostEvent, HostSettings, HostState},
+    identity::{HostId, RequestId},
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+
+use super::{
+    HostMessage, OperatorAnswer, OperatorQuestion, RequestSignal, status_page::status_page,
+};
+use crate::{
+    journal::JournalMessage,
+    kernel::{HostClock, ServiceName},
+    peers::PeersMessage,
+    upstreams::UpstreamsMessage,
+};
+
+/// Holds the host's decisions; every event passes through it, in order.
+#[derive(Debug)]
+pub struct HostService;
+
+/// What the service needs at its start.
+#[derive(Debug)]
+pub struct HostArguments {
+    /// Identity and times.
+    pub settings: HostSettings,
+    /// Records of the journal.
+    pub journal: Vec<JournalRecord>,
+    /// The host's clock.
+    pub clock: HostClock,
+    /// Number of this run, part of the services' names.
+    pub run: u64,
+    /// Addresses of the voters.
+    pub voters: HashMap<HostId, SocketAddr>,
+}
+
+/// What the service holds while it runs.
+pub struct HostServiceState {
+    state: HostState,
+    id: HostId,
+    clock: HostClock,
+    run: u64,
+    voters: HashMap<HostId, SocketAddr>,
+    requests: HashMap<RequestId, UnboundedSender<RequestSignal>>,
+    questions: HashMap<u64, oneshot::Sender<OperatorAnswer>>,
+    last_ticket: u64,
+    peers: Option<ActorRef<PeersMessage>>,
+    journal: Option<ActorRef<JournalMessage>>,
+    upstreams: Option<ActorRef<UpstreamsMessage>>,
+    delayed: Vec<HostEffect>,
+}
+
+impl Actor for HostService {
+    type Msg = HostMessage;
+    type State = HostServiceState;
+    type Arguments = HostArguments;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<HostMessage>,
+        arguments: HostArguments,
+    ) -> Result<HostServiceState, ActorProcessingErr> {
+        let HostArguments { settings, journal, clock, run, voters } = arguments;
+        let id = settings.id();
+        let state = HostState::new(settings, journal, clock.now());
+        Ok(HostServiceState {
+            state,
+            id,
+            clock,
+            run,
+            voters,
+            requests: HashMap::new(),
+            questions: HashMap::new(),
+            last_ticket: 0,
+            peers: None,
+            journal: None,
+            upstreams: None,
+            delayed: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<HostMessage>,
+        message: HostMessage,
+        state: &mut HostServiceState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            HostMessage::Event(event) => state.step(event),
+            HostMessage::Arrive(arrival, signals) => {
+                state.requests.insert(arrival.request, signals);
+                state.step(HostEvent::Arrived(arrival));
+            }
+            HostMessage::Ask(question, answer) => state.ask(question, answer),
+            HostMessage::Status(answer) => {
+                let _ = answer.send(status_page(&state.state, state.id, state.clock.now()));
+            }
+            HostMessage::Audit(answer) => {
+                let _ = answer.send(state.state.control().audit.clone());
+            }
+        }
+        Ok(())
+    }
+}
+
+impl HostServiceState {
+    fn step(&mut self, event: HostEvent) {
+        let effects = self.state.step(self.clock.now(), event);
+        self.find_services();
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    /// The other services start after this one.
+    fn find_services(&mut self) {
+        if self.upstreams.is_some() && self.peers.is_some() {
+            return;
+        }
+        self.peers = ServiceName::Peers.find(self.id, self.run);
+        self.journal = ServiceName::Journal.find(self.id, self.run);
+        self.upstreams = ServiceName::Upstreams.find(self.id, self.run);
+        if self.upstreams.is_some() {
+            for effect in std::mem::take(&mut self.delayed) {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn ask(&mut self, question: OperatorQuestion, answer: oneshot::Sender<OperatorAnswer>) {
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.questions.insert(ticket, answer);
+        let event = match question {
+            OperatorQuestion::Plan(intent) => HostEvent::PlanAsked { ticket, intent },
+            OperatorQuestion::Confirm { request, plan, operator, at_unix_ms } => {
+                HostEvent::ConfirmAsked { ticket, request, plan, operator, at_unix_ms }
+            }
+        };
+        self.step(event);
+    }
+
+    fn answer(&mut self, ticket: u64, answer: OperatorAnswer) {
+        if let Some(question) = self.questions.remove(&ticket) {
+            let _ = question.send(answer);
+        }
+    }
+
+    fn signal(&mut self, request: RequestId, signal: RequestSignal) {
+        let over = matches!(signal, RequestSignal::Conclude(_));
+        let Some(signals) = self.requests.get(&request) else {
+            return;
+        };
+        let gone = signals.send(signal).is_err();
+        if over || gone {
+            self.requests.remove(&request);
+        }
+    }
+
+    fn address_of(&self, host: HostId) -> Option<SocketAddr> {
+        let joined = self.state.control().hosts.get(&host).map(|record| record.peer_address);
+        joined.or_else(|| self.voters.get(&host).copied())
+    }
+
+    fn carry_out(&mut self, effect: HostEffect) {
+        match effect {
+            HostEffect::Send(to, message) => {
+                let address = self.address_of(to);
+                if let Some(peers) = &self.peers {
+                    let _ = peers.send_message(PeersMessage::Send { to, address, message });
+                }
+            }
+            HostEffect::Persist { number, records } => {
+                if let Some(journal) = &self.journal {
+                    let _ = journal.send_message(JournalMessage::Persist { number, records });
+                } else {
+                    self.delayed.push(HostEffect::Persist { number, records });
+                }
+            }
+            HostEffect::Watch { .. } | HostEffect::Unwatch(_) | HostEffect::Order { .. } => {
+                self.instruct_upstreams(effect);
+            }
+            HostEffect::Dispatch { request, database, address, is_primary } => {
+                let signal = RequestSignal::Dispatch { database, address, is_primary };
+                self.signal(request, signal);
+            }
+            HostEffect::Conclude(request, conclusion) => {
+                self.signal(request, RequestSignal::Conclude(conclusion));
+            }
+            HostEffect::PlanAnswer { ticket, answer } => {
+                self.answer(ticket, OperatorAnswer::Plan(answer));
+            }
+            HostEffect::ConfirmAnswer { ticket, answer } => {
+                self.answer(ticket, OperatorAnswer::Confirm(answer));
+            }
+            HostEffect::NotCurrent { ticket, leader } => {
+                self.answer(ticket, OperatorAnswer::NotCurrent(leader));
+            }
+            HostEffect::AnnouncementRefused { database, result } => {
+                let number = result.number();
+                let text = result.text();
+                log::warn!(target: "host", "Announcement of {database} refused ({number}): {text}");
+            }
+            HostEffect::Note(text) => log::info!(target: "host", "{text}"),
+        }
+    }
+
+    fn instruct_upstreams(&mut self, effect: HostEffect) {
+        let Some(upstreams) = &self.upstreams else {
+            self.delayed.push(effect);
+            return;
+        };
+        let message = match effect {
+            HostEffect::Watch { database, address } => {
+                UpstreamsMessage::Watch { database, address }
+            }
+            HostEffect::Unwatch(database) => UpstreamsMessage::Unwatch(database),
+            HostEffect::Order { database, address, order } => {
+                UpstreamsMessage::Order { database, address, order }
+            }
+            _ => return,
+        };
+        let _ = upstreams.send_message(message);
+    }
+}
+
+/// Names of voters by number, as settings give them.
+pub(crate) fn voter_addresses(
+    settings: &crate::settings::DaemonSettings,
+) -> HashMap<HostId, SocketAddr> {
+    let voters = settings.control.voters.iter();
+    voters.map(|voter| (voter.id, voter.peers)).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -0,0 +1,189 @@
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+use hawthornstack_decisions::agreement::JournalRecord;
+use snafu::ResultExt;
+
+use crate::kernel::{
+    KernelError,
+    kernel_error::{DataFolderSnafu, JournalDamagedSnafu},
+};
+
+/// Name of the journal in the data folder.
+const JOURNAL_NAME: &str = "journal";
+/// Name of a journal that is being rewritten.
+const REWRITTEN_NAME: &str = "journal.new";
+/// Marks the start of a record.
+const RECORD_MARK: [u8; 4] = *b"HSJ1";
+/// Bytes before a record's body: mark, length, checksum.
+const HEADER_BYTES: usize = 12;
+/// Largest body of a record, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// The journal on disk: one file of records, rewritten when a snapshot
+/// replaces its beginning.
+#[derive(Debug)]
+pub struct JournalFile {
+    folder: PathBuf,
+    file: File,
+}
+
+/// What stands at one place of the file.
+enum RecordFound {
+    Whole { record: Box<JournalRecord>, end: usize },
+    Broken,
+}
+
+impl JournalFile {
+    /// Opens the journal in `folder` and returns its records. A record that
+    /// was cut off at the end is dropped.
+    ///
+    /// # Errors
+    /// `KernelError::JournalDamaged` if whole records follow a broken one;
+    /// `KernelError::DataFolder` if the file cannot be used.
+    pub fn open(folder: &Path) -> Result<(Self, Vec<JournalRecord>), KernelError> {
+        fs::create_dir_all(folder).context(DataFolderSnafu { path: folder })?;
+        let path = folder.join(JOURNAL_NAME);
+        let bytes = match fs::read(&path) {
+            Ok(bytes) => bytes,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
+            Err(source) => return Err(KernelError::DataFolder { path, source }),
+        };
+        let mut records = Vec::new();
+        let mut end = 0;
+        while end < bytes.len() {
+            match read_record(&bytes, end) {
+                RecordFound::Whole { record, end: next } => {
+                    records.push(*record);
+                    end = next;
+                }
+                RecordFound::Broken if whole_record_follows(&bytes, end) => {
+                    return JournalDamagedSnafu { path, offset: end as u64 }.fail();
+                }
+                RecordFound::Broken => break,
+            }
+        }
+        let file = Self::open_at(&path, end as u64).context(DataFolderSnafu { path: &path })?;
+        sync_folder(folder).context(DataFolderSnafu { path: folder })?;
+        Ok((Self { folder: folder.to_owned(), file }, records))
+    }
+
+    fn open_at(path: &Path, end: u64) -> io::Result<File> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        file.set_len(end)?;
+        file.sync_all()?;
+        Ok(file)
+    }
+
+    /// Appends records and returns once they are synced.
+    ///
+    /// # Errors
+    /// The system's error; the journal must not be used after one.
+    pub fn append(&mut self, records: &[JournalRecord]) -> io::Result<()> {
+        let replaces = records.iter().any(|r| matches!(r, JournalRecord::Snapshot(_)));
+        if replaces {
+            return self.rewrite(records);
+        }
+        let mut bytes = Vec::new();
+        for record in records {
+            write_record(&mut bytes, record)?;
+        }
+        self.file.write_all(&bytes)?;
+        self.file.sync_data()
+    }
+
+    /// Writes a new file that begins with the newest snapshot, then puts it in
+    /// place of the old one.
+    fn rewrite(&mut self, added: &[JournalRecord]) -> io::Result<()> {
+        let path = self.folder.join(JOURNAL_NAME);
+        let bytes = fs::read(&path)?;
+        let mut records = Vec::new();
+        let mut end = 0;
+        while let RecordFound::Whole { record, end: next } = read_record(&bytes, end) {
+            records.push(*record);
+            end = next;
+        }
+        records.extend(added.iter().cloned());
+        let mut rewritten = Vec::new();
+        for record in compacted(records) {
+            write_record(&mut rewritten, &record)?;
+        }
+        let new_path = self.folder.join(REWRITTEN_NAME);
+        let mut file = File::create(&new_path)?;
+        file.write_all(&rewritten)?;
+        file.sync_all()?;
+        fs::rename(&new_path, &path)?;
+        sync_folder(&self.folder)?;
+        self.file = OpenOptions::new().append(true).open(&path)?;
+        Ok(())
+    }
+}
+
+/// Keeps the newest vote, the newest snapshot and the entries after it.
+fn compacted(records: Vec<JournalRecord>) -> Vec<JournalRecord> {
+    let mut hard = None;
+    let mut snapshot = None;
+    let mut entries = Vec::new();
+    for record in records {
+        match record {
+            JournalRecord::Hard(state) => hard = Some(state),
+            JournalRecord::Snapshot(newer) => snapshot = Some(newer),
+            JournalRecord::Entry(entry) => entries.push(entry),
+        }
+    }
+    let kept_after = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+    let entries = entries.into_iter().filter(|entry| entry.index > kept_after);
+    hard.map(JournalRecord::Hard)
+        .into_iter()
+        .chain(snapshot.map(JournalRecord::Snapshot))
+        .chain(entries.map(JournalRecord::Entry))
+        .collect()
+}
+
+fn write_record(bytes: &mut Vec<u8>, record: &JournalRecord) -> io::Result<()> {
+    let mut body = Vec::new();
+    ciborium::into_writer(record, &mut body).map_err(io::Error::other)?;
+    bytes.extend_from_slice(&RECORD_MARK);
+    bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(())
+}
+
+fn read_record(bytes: &[u8], start: usize) -> RecordFound {
+    let Some(header) = bytes.get(start..start + HEADER_BYTES) else {
+        return RecordFound::Broken;
+    };
+    let number = |at: usize| {
+        u32::from_be_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]])
+    };
+    let length = number(4) as usize;
+    if header[..4] != RECORD_MARK || length > MAX_BODY_BYTES {
+        return RecordFound::Broken;
+    }
+    let end = start + HEADER_BYTES + length;
+    let Some(body) = bytes.get(start + HEADER_BYTES..end) else {
+        return RecordFound::Broken;
+    };
+    if crc32fast::hash(body) != number(8) {
+        return RecordFound::Broken;
+    }
+    match ciborium::from_reader(body) {
+        Ok(record) => RecordFound::Whole { record: Box::new(record), end },
+        Err(_) => RecordFound::Broken,
+    }
+}
+
+/// True if a whole record begins anywhere after the broken one at `start`.
+fn whole_record_follows(bytes: &[u8], start: usize) -> bool {
+    (start + 1..bytes.len().saturating_sub(HEADER_BYTES))
+        .filter(|at| bytes[*at..].starts_with(&RECORD_MARK))
+        .any(|at| matches!(read_record(bytes, at), RecordFound::Whole { .. }))
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
--- /dev/null
+++ b/crates/daemon/src/journal/mod.rs
@@ -0,0 +1,7 @@
+//! The voter's journal: checksummed records that count once synced.
+
+mod journal_file;
+mod journal_service;
+
+pub use journal_file::JournalFile;
+pub use journal_service::{JournalArguments, JournalMessage, JournalService};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,12 @@
+//! The hawthornstack daemon: services that feed events to the decisions and
+//! carry out their effects.
+
+pub mod callers;
+pub mod host;
+pub mod journal;
+pub mod kernel;
+pub mod logs;
+pub mod operators;
+pub mod peers;
+pub mod settings;
+pub mod upstreams;
--- /dev/null
+++ b/crates/daemon/src/logs/mod.rs
@@ -0,0 +1,5 @@
+//! Logs: short sentences, one prefix for each part.
+
+mod log_setup;
+
+pub use log_setup::{LogHandle, start_logs};
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,100 @@
+//! `hawthornstackd`, the daemon.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use hawthornstack_daemon::{
+    kernel::DaemonKernel,
+    logs::start_logs,
+    settings::{DaemonSettings, SettingsError},
+};
+
+/// Exit code for settings that were refused.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a daemon that could not start.
+const EXIT_START: u8 = 3;
+
+/// A database proxy with session consistency.
+#[derive(FromArgs)]
+struct DaemonArguments {
+    /// settings file (YAML)
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    #[argh(subcommand)]
+    command: Option<DaemonCommand>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum DaemonCommand {
+    Check(CheckCommand),
+}
+
+/// Check a settings file and exit.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckCommand {
+    /// settings file (YAML)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: DaemonArguments = argh::from_env();
+    match (arguments.command, arguments.settings) {
+        (Some(DaemonCommand::Check(check)), _) => match DaemonSettings::load(&check.settings) {
+            Ok(_) => {
+                println!("{} can be used.", check.settings.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => refuse(&error),
+        },
+        (None, Some(path)) => match DaemonSettings::load(&path) {
+            Ok(settings) => run(&settings),
+            Err(error) => refuse(&error),
+        },
+        (None, None) => {
+            eprintln!("Give --settings FILE; see hawthornstackd --help.");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn refuse(error: &SettingsError) -> ExitCode {
+    eprintln!("The settings cannot be used: {error}.");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+#[tokio::main]
+async fn run(settings: &DaemonSettings) -> ExitCode {
+    let _logs = match start_logs(&settings.logs) {
+        Ok(logs) => logs,
+        Err(error) => {
+            eprintln!("The settings cannot be used: logs: {error}.");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match DaemonKernel::start(settings).await {
+        Ok(kernel) => {
+            wait_for_signal().await;
+            kernel.shut_down().await;
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("The daemon cannot start: {error}.");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+async fn wait_for_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        let _ = tokio::signal::ctrl_c().await;
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/operator_routes.rs
@@ -0,0 +1,162 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use hawthornstack_decisions::{
+    control::ControlAnswer, directory::Announcement, host::HostEvent, identity::HostId,
+    outcomes::ResultCode,
+};
+use hawthornstack_wire::operators::{
+    ANNOUNCE_PATH, AUDIT_PATH, CONFIRM_PATH, ConfirmRequest, ConfirmResponse, ErrorResponse,
+    HEALTH_PATH, PLAN_PATH, PlanRequest, PlanResponse, STATUS_PATH,
+};
+use ractor::ActorRef;
+use tokio::{sync::oneshot, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::host::{HostMessage, OperatorAnswer, OperatorQuestion};
+
+/// Time for the host to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// What the routes share.
+#[derive(Clone)]
+pub struct OperatorContext {
+    /// The host's decisions.
+    pub host: ActorRef<HostMessage>,
+    /// Cancelled once this host takes no new callers.
+    pub closing: CancellationToken,
+}
+
+/// Builds the routes of a host.
+pub fn operator_routes(context: OperatorContext) -> Router {
+    Router::new()
+        .route(ANNOUNCE_PATH, post(announce))
+        .route(PLAN_PATH, post(plan))
+        .route(CONFIRM_PATH, post(confirm))
+        .route(STATUS_PATH, get(status))
+        .route(AUDIT_PATH, get(audit))
+        .route(HEALTH_PATH, get(health))
+        .with_state(context)
+}
+
+fn refusal(status: StatusCode, code: ResultCode, text: &str, leader: Option<HostId>) -> Response {
+    let body = ErrorResponse {
+        code: code.number(),
+        text: text.to_owned(),
+        mend: code.mend().to_owned(),
+        leader,
+    };
+    (status, Json(body)).into_response()
+}
+
+fn not_current(leader: Option<HostId>) -> Response {
+    let code = ResultCode::NotCurrent;
+    refusal(StatusCode::SERVICE_UNAVAILABLE, code, code.text(), leader)
+}
+
+async fn announce(
+    State(context): State<OperatorContext>,
+    Json(announcement): Json<Announcement>,
+) -> StatusCode {
+    let event = HostEvent::Announced(announcement);
+    match context.host.send_message(HostMessage::Event(event)) {
+        Ok(()) => StatusCode::ACCEPTED,
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+async fn ask(context: &OperatorContext, question: OperatorQuestion) -> OperatorAnswer {
+    let (sender, receiver) = oneshot::channel();
+    let _ = context.host.send_message(HostMessage::Ask(question, sender));
+    match timeout(ANSWER_TIMEOUT, receiver).await {
+        Ok(Ok(answer)) => answer,
+        _ => OperatorAnswer::NotCurrent(None),
+    }
+}
+
+async fn plan(
+    State(context): State<OperatorContext>,
+    Json(request): Json<PlanRequest>,
+) -> Response {
+    match ask(&context, OperatorQuestion::Plan(request.intent)).await {
+        OperatorAnswer::Plan(Ok(plan)) => Json(PlanResponse {
+            id: plan.id,
+            base_version: plan.base_version,
+            steps: plan.changes.iter().map(ToString::to_string).collect(),
+            changes: plan.changes,
+        })
+        .into_response(),
+        OperatorAnswer::Plan(Err(text)) => {
+            refusal(StatusCode::BAD_REQUEST, ResultCode::BadDeclaration, &text, None)
+        }
+        OperatorAnswer::NotCurrent(leader) => not_current(leader),
+        OperatorAnswer::Confirm(_) => not_current(None),
+    }
+}
+
+async fn confirm(
+    State(context): State<OperatorContext>,
+    Json(request): Json<ConfirmRequest>,
+) -> Response {
+    let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let question = OperatorQuestion::Confirm {
+        request: request.request,
+        plan: request.plan,
+        operator: request.operator,
+        at_unix_ms: at.as_millis() as u64,
+    };
+    match ask(&context, question).await {
+        OperatorAnswer::Confirm(answer) => confirmation(answer),
+        OperatorAnswer::NotCurrent(leader) => not_current(leader),
+        OperatorAnswer::Plan(_) => not_current(None),
+    }
+}
+
+fn confirmation(answer: ControlAnswer) -> Response {
+    let status = match answer.result {
+        ResultCode::Done => StatusCode::OK,
+        _ => StatusCode::CONFLICT,
+    };
+    let body = ConfirmResponse {
+        code: answer.result.number(),
+        text: answer.result.text().to_owned(),
+        version: answer.version,
+        changed_since: answer.changed_since.iter().map(ToString::to_string).collect(),
+    };
+    (status, Json(body)).into_response()
+}
+
+async fn status(State(context): State<OperatorContext>) -> Response {
+    let (sender, receiver) = oneshot::channel();
+    let _ = context.host.send_message(HostMessage::Status(sender));
+    match receiver.await {
+        Ok(page) => Json(page).into_response(),
+        Err(_) => not_current(None),
+    }
+}
+
+async fn audit(State(context): State<OperatorContext>) -> Response {
+    let (sender, receiver) = oneshot::channel();
+    let _ = context.host.send_message(HostMessage::Audit(sender));
+    match receiver.await {
+        Ok(records) => Json(records).into_response(),
+        Err(_) => not_current(None),
+    }
+}
+
+/// Tells the balancer whether to send callers here.
+async fn health(State(context): State<OperatorContext>) -> StatusCode {
+    let (sender, receiver) = oneshot::channel();
+    let _ = context.host.send_message(HostMessage::Status(sender));
+    let serves = receiver.await.is_ok_and(|page| page.has_lease);
+    match serves && !context.closing.is_cancelled() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,10 @@
+//! Settings of a daemon: read from YAML, checked before anything starts.
+
+mod daemon_settings;
+mod settings_error;
+
+pub use daemon_settings::{
+    ControlSettings, DaemonSettings, FailoverSettings, GroupSettings, HostIdentity, ListenSettings,
+    LogSettings, SessionSettings, VoterAddress,
+};
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -0,0 +1,13 @@
+//! Connections to upstream databases, their reports, and orders to them.
+
+mod connection_store;
+mod database_monitor;
+mod upstream_connection;
+mod upstream_error;
+mod upstreams_service;
+
+pub use connection_store::ConnectionStore;
+pub use upstream_connection::{ReplySegment, UpstreamConnection};
+pub(crate) use upstream_connection::{encode_frontend, encode_query};
+pub use upstream_error::UpstreamError;
+pub use upstreams_service::{UpstreamsArguments, UpstreamsMessage, UpstreamsService};
--- /dev/null
+++ b/crates/decisions/src/control/mod.rs
@@ -0,0 +1,18 @@
+//! The replicated configuration: services, groups, hosts, plans and the audit
+//! trail.
+
+mod audit_record;
+mod control_command;
+mod control_state;
+mod declaration;
+mod group_record;
+mod host_record;
+mod plan;
+
+pub use audit_record::{AuditRecord, verify_chain};
+pub use control_command::ControlCommand;
+pub use control_state::{ControlAnswer, ControlState};
+pub use declaration::{Declaration, DeclarationError, ServiceDeclaration};
+pub use group_record::{GroupPhase, GroupRecord, MemberRecord, MemberStanding};
+pub use host_record::HostRecord;
+pub use plan::{Intent, Plan, PlannedChange};
--- /dev/null
+++ b/crates/decisions/src/host/control_flow.rs
@@ -0,0 +1,378 @@
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use super::{
+    GroupView, HostEffect, HostState, PeerMessage,
+    host_state::{PendingConfirmation, RequestDeadline},
+};
+use crate::{
+    agreement::{AgreementEffect, AgreementEvent, EntryPayload},
+    clock::Moment,
+    control::{ControlCommand, ControlState, Intent},
+    directory::DatabaseView,
+    identity::{DatabaseName, GroupName, HostId, RequestId},
+    outcomes::ResultCode,
+    sessions::rank_hosts,
+};
+
+/// Commands kept for subscribers that are a little behind.
+const RECENT_COMMANDS: usize = 4_096;
+/// Commands sent to a subscriber in one message.
+const UPDATE_COMMANDS: usize = 512;
+/// Time between a subscriber's questions.
+const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Silence after which a subscriber turns to another voter.
+const SUBSCRIPTION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which a subscriber gets updates after its last question.
+const SUBSCRIBER_LIFETIME: Duration = Duration::from_secs(5);
+/// Time that an operator's confirmation waits to be committed.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A host that gets updates from this voter.
+#[derive(Debug)]
+pub(super) struct Subscriber {
+    next_index: u64,
+    heard_at: Moment,
+}
+
+impl HostState {
+    pub(super) fn step_agreement(&mut self, now: Moment, event: AgreementEvent) {
+        if let Some(agreement) = &mut self.agreement {
+            let effects = agreement.step(now, event);
+            self.carry_out(now, effects);
+        }
+    }
+
+    fn carry_out(&mut self, now: Moment, effects: Vec<AgreementEffect>) {
+        let mut applied = false;
+        for effect in effects {
+            match effect {
+                AgreementEffect::Send(to, message) => {
+                    self.send(to, PeerMessage::Agreement(message));
+                }
+                AgreementEffect::Persist { number, records } => {
+                    self.effects.push(HostEffect::Persist { number, records });
+                }
+                AgreementEffect::Committed { index, payload } => {
+                    applied = true;
+                    let command = match payload {
+                        EntryPayload::Command(command) => command,
+                        // Keeps the subscribers' count of entries whole.
+                        EntryPayload::Voters { .. } => ControlCommand::LeaderElected,
+                    };
+                    self.apply(now, index, command);
+                }
+                AgreementEffect::Installed(snapshot) => {
+                    let mut state = snapshot.state;
+                    state.applied = state.applied.max(snapshot.index);
+                    self.replace_control(now, state);
+                }
+                AgreementEffect::Elected(term) => self.begin_duty(now, term),
+                AgreementEffect::Deposed => self.end_duty(),
+            }
+        }
+        if let Some(agreement) = &self.agreement
+            && !agreement.is_leader()
+            && agreement.leader().is_some()
+        {
+            self.leader = agreement.leader();
+        }
+        if applied {
+            self.update_subscribers(now);
+            self.compact(now);
+        }
+    }
+
+    fn compact(&mut self, now: Moment) {
+        if let Some(agreement) = &mut self.agreement {
+            let effects = agreement.compact(&self.control, self.control.applied);
+            if !effects.is_empty() {
+                self.carry_out(now, effects);
+            }
+        }
+    }
+
+    /// Commits a command if this host leads.
+    pub(super) fn propose(&mut self, now: Moment, command: ControlCommand) -> bool {
+        let Some(agreement) = &mut self.agreement else {
+            return false;
+        };
+        match agreement.propose(now, command) {
+            Ok((_, effects)) => {
+                self.carry_out(now, effects);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn apply(&mut self, now: Moment, index: u64, command: ControlCommand) {
+        if index != self.control.applied + 1 {
+            return;
+        }
+        self.control.apply(index, &command);
+        self.recent.push_back(command.clone());
+        if self.recent.len() > RECENT_COMMANDS {
+            self.recent.pop_front();
+        }
+        match &command {
+            ControlCommand::LeaderElected
+            | ControlCommand::HostJoined(_)
+            | ControlCommand::HostLeft(_)
+            | ControlCommand::PlanMade(_) => {}
+            ControlCommand::GroupFormed(record) => self.refresh_group(now, &record.name),
+            ControlCommand::MemberJoined(group, _)
+            | ControlCommand::MemberCounts(group, _)
+            | ControlCommand::MemberDraining(group, _)
+            | ControlCommand::MemberLeft(group, _)
+            | ControlCommand::HomesAssigned(group, _)
+            | ControlCommand::TermEnded { group, .. }
+            | ControlCommand::PrimaryChosen { group, .. }
+            | ControlCommand::TermStarted { group, .. } => self.refresh_group(now, group),
+            ControlCommand::PlanConfirmed { request, .. } => {
+                self.refresh_groups(now);
+                self.answer_confirmations(&request.clone());
+            }
+        }
+        self.leader_applied(now, &command);
+    }
+
+    /// Takes a whole configuration, unless it is older than the one in force.
+    pub(super) fn replace_control(&mut self, now: Moment, state: ControlState) {
+        self.subscription.heard_at = now;
+        if state.applied > self.control.applied {
+            self.control = state;
+            self.recent.clear();
+            self.refresh_groups(now);
+        }
+    }
+
+    pub(super) fn refresh_groups(&mut self, now: Moment) {
+        let names: BTreeSet<GroupName> =
+            self.control.groups.keys().chain(self.groups.keys()).cloned().collect();
+        for name in names {
+            self.refresh_group(now, &name);
+        }
+    }
+
+    /// Brings this home's view of a group in line with the configuration.
+    fn refresh_group(&mut self, now: Moment, name: &GroupName) {
+        let me = self.settings.id();
+        let record = self
+            .control
+            .groups
+            .get(name)
+            .filter(|record| record.homes.contains(&me) && self.control.is_declared(name));
+        let Some(record) = record.cloned() else {
+            return self.leave_group(now, name);
+        };
+        let max_waiting =
+            self.control.declaration_of(name).map_or(0, |declared| declared.max_waiting);
+        let view =
+            self.groups.entry(name.clone()).or_insert_with(|| GroupView::new(now, record.clone()));
+        let new_term = view.record.term != record.term;
+        let phase_changed = view.record.phase != record.phase;
+        view.record = record;
+        view.max_waiting = max_waiting as usize;
+        if new_term {
+            view.samples.clear();
+            view.primary_heard_at = now;
+            view.primary_failures = 0;
+            view.majority_moved_at = now;
+        }
+        if phase_changed {
+            view.leader_told_at = Moment::ZERO;
+        }
+        self.refresh_databases(name);
+        self.tend_group(now, name);
+        self.pump(now, name);
+        self.confirm_writes(now, name);
+    }
+
+    fn refresh_databases(&mut self, name: &GroupName) {
+        let Some(view) = self.groups.get_mut(name) else {
+            return;
+        };
+        let record = &view.record;
+        for member in record.members.values() {
+            let wanted = member.counts() || member.takes_work();
+            let share = record.share_of(member);
+            match view.databases.get_mut(&member.database) {
+                Some(database) if wanted => {
+                    database.share = share;
+                    database.record = member.clone();
+                }
+                Some(_) => {
+                    view.databases.remove(&member.database);
+                    self.database_groups.remove(&member.database);
+                    self.effects.push(HostEffect::Unwatch(member.database.clone()));
+                }
+                None if wanted => {
+                    let database = DatabaseView::new(member.clone(), share);
+                    view.databases.insert(member.database.clone(), database);
+                    self.database_groups.insert(member.database.clone(), name.clone());
+                    self.effects.push(HostEffect::Watch {
+                        database: member.database.clone(),
+                        address: member.address,
+                    });
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// This host is no longer a home: waiting requests are refused, running
+    /// ones finish.
+    fn leave_group(&mut self, now: Moment, name: &GroupName) {
+        let Some(view) = self.groups.remove(name) else {
+            return;
+        };
+        for request in view.writes.iter().chain(view.reads.iter()) {
+            self.conclude(now, *request, ResultCode::NoDatabase, None);
+        }
+        let databases: Vec<DatabaseName> = view.databases.into_keys().collect();
+        for database in databases {
+            self.database_groups.remove(&database);
+            self.effects.push(HostEffect::Unwatch(database));
+        }
+    }
+
+    // Distribution to hosts that do not vote.
+
+    pub(super) fn tend_subscription(&mut self, now: Moment) {
+        if self.agreement.is_some() || now.since(self.subscription.asked_at) < SUBSCRIBE_INTERVAL {
+            return;
+        }
+        if now.since(self.subscription.heard_at) > SUBSCRIPTION_TIMEOUT {
+            self.subscription.rank += 1;
+            self.subscription.heard_at = now;
+        }
+        self.subscription.asked_at = now;
+        let key = self.settings.id().0.to_be_bytes();
+        let ranked = rank_hosts(&key, self.settings.voters.iter().copied());
+        let voter = ranked.get(self.subscription.rank % ranked.len().max(1));
+        if let Some(voter) = voter.copied() {
+            let applied = self.control.applied;
+            self.send(voter, PeerMessage::Subscribe { applied });
+        }
+    }
+
+    pub(super) fn subscribed(&mut self, now: Moment, from: HostId, applied: u64) {
+        let subscriber = Subscriber { next_index: applied + 1, heard_at: now };
+        self.subscribers.insert(from, subscriber);
+        self.update_subscriber(from, true);
+    }
+
+    fn update_subscribers(&mut self, now: Moment) {
+        self.subscribers
+            .retain(|_, subscriber| now.since(subscriber.heard_at) < SUBSCRIBER_LIFETIME);
+        let hosts: Vec<HostId> = self.subscribers.keys().copied().collect();
+        for host in hosts {
+            self.update_subscriber(host, false);
+        }
+    }
+
+    /// Sends what a subscriber lacks; an answer to its question even if that
+    /// is nothing.
+    fn update_subscriber(&mut self, host: HostId, answer: bool) {
+        let applied = self.control.applied;
+        let oldest = applied + 1 - self.recent.len() as u64;
+        let Some(subscriber) = self.subscribers.get_mut(&host) else {
+            return;
+        };
+        let next = subscriber.next_index;
+        if next > applied && !answer {
+            return;
+        }
+        subscriber.next_index = applied + 1;
+        let message = if next < oldest {
+            PeerMessage::State(Box::new(self.control.clone()))
+        } else {
+            let skipped = (next - oldest) as usize;
+            let commands = self.recent.iter().skip(skipped).take(UPDATE_COMMANDS).cloned();
+            let commands: Vec<ControlCommand> = commands.collect();
+            subscriber.next_index = next + commands.len() as u64;
+            PeerMessage::Updates { first_index: next, commands }
+        };
+        self.send(host, message);
+    }
+
+    pub(super) fn updated(
+        &mut self,
+        now: Moment,
+        _from: HostId,
+        first_index: u64,
+        commands: Vec<ControlCommand>,
+    ) {
+        if self.agreement.is_some() {
+            return;
+        }
+        self.subscription.heard_at = now;
+        for (index, command) in (first_index..).zip(commands) {
+            self.apply(now, index, command);
+        }
+    }
+
+    // Operators.
+
+    pub(super) fn plan_asked(&mut self, now: Moment, ticket: u64, intent: &Intent) {
+        if !self.is_current_leader(now) {
+            let leader = self.leader;
+            return self.effects.push(HostEffect::NotCurrent { ticket, leader });
+        }
+        let answer = self.control.make_plan(intent);
+        if let Ok(plan) = &answer
+            && !self.control.plans.contains_key(&plan.id)
+        {
+            self.propose(now, ControlCommand::PlanMade(plan.clone()));
+        }
+        self.effects.push(HostEffect::PlanAnswer { ticket, answer });
+    }
+
+    pub(super) fn confirm_asked(
+        &mut self,
+        now: Moment,
+        ticket: u64,
+        request: Arc<str>,
+        command: ControlCommand,
+    ) {
+        if !self.is_current_leader(now) {
+            let leader = self.leader;
+            return self.effects.push(HostEffect::NotCurrent { ticket, leader });
+        }
+        if let Some(answer) = self.control.answers.get(&request).cloned() {
+            return self.effects.push(HostEffect::ConfirmAnswer { ticket, answer });
+        }
+        let until = now + CONFIRMATION_TIMEOUT;
+        self.confirmations.push(PendingConfirmation { ticket, request, until });
+        self.propose(now, command);
+    }
+
+    fn answer_confirmations(&mut self, request: &Arc<str>) {
+        let Some(answer) = self.control.answers.get(request).cloned() else {
+            return;
+        };
+        let (done, waiting) = std::mem::take(&mut self.confirmations)
+            .into_iter()
+            .partition(|pending| pending.request == *request);
+        self.confirmations = waiting;
+        for pending in done {
+            let answer = answer.clone();
+            self.effects.push(HostEffect::ConfirmAnswer { ticket: pending.ticket, answer });
+        }
+    }
+
+    pub(super) fn expire_confirmations(&mut self, now: Moment) {
+        let (late, waiting) = std::mem::take(&mut self.confirmations)
+            .into_iter()
+            .partition(|pending| pending.until <= now);
+        self.confirmations = waiting;
+        for pending in late {
+            let leader = self.leader;
+            self.effects.push(HostEffect::NotCurrent { ticket: pending.ticket, leader });
+        }
+    }
+
+    pub(super) fn set_deadline(&mut self, request: RequestId, at: Moment) {
+        self.deadlines.insert(RequestDeadline { at, request });
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/group_view.rs
@@ -0,0 +1,116 @@
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::{
+    clock::Moment,
+    control::{GroupPhase, GroupRecord, MemberRecord, MemberStanding},
+    directory::DatabaseView,
+    identity::{DatabaseName, RequestId},
+    positions::{LogPosition, PrimarySamples},
+};
+
+/// A write that waits for a majority; ordered by position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UnconfirmedWrite {
+    /// Position of the write.
+    pub position: LogPosition,
+    /// The request.
+    pub request: RequestId,
+}
+
+/// What a home knows of one group.
+#[derive(Debug)]
+pub struct GroupView {
+    /// The committed record, as last applied here.
+    pub record: GroupRecord,
+    /// The databases that may be used or watched.
+    pub databases: BTreeMap<DatabaseName, DatabaseView>,
+    /// What the primary was seen to hold.
+    pub samples: PrimarySamples,
+    /// Writes that wait for the primary, oldest first.
+    pub writes: VecDeque<RequestId>,
+    /// Reads that wait for a database, oldest first.
+    pub reads: VecDeque<RequestId>,
+    /// Writes that wait for a majority, by position.
+    pub unconfirmed: BTreeSet<UnconfirmedWrite>,
+    /// When the primary last reported in its term.
+    pub primary_heard_at: Moment,
+    /// Failures to reach the primary since then.
+    pub primary_failures: u32,
+    /// Highest position that a majority was seen to hold.
+    pub majority_held: LogPosition,
+    /// When that last moved, or was level with the primary.
+    pub majority_moved_at: Moment,
+    /// Result of a full queue for this group.
+    pub max_waiting: usize,
+    /// When the leader was last told of members.
+    pub members_reported_at: Moment,
+    /// When the leader was last told of a suspicion or a fence.
+    pub leader_told_at: Moment,
+}
+
+impl GroupView {
+    /// A group of which nothing was heard yet.
+    pub fn new(now: Moment, record: GroupRecord) -> Self {
+        Self {
+            record,
+            databases: BTreeMap::new(),
+            samples: PrimarySamples::default(),
+            writes: VecDeque::new(),
+            reads: VecDeque::new(),
+            unconfirmed: BTreeSet::new(),
+            primary_heard_at: now,
+            primary_failures: 0,
+            majority_held: LogPosition::default(),
+            majority_moved_at: now,
+            max_waiting: 0,
+            members_reported_at: Moment::ZERO,
+            leader_told_at: Moment::ZERO,
+        }
+    }
+
+    /// True if the primary of the record's term may accept writes.
+    pub fn is_steady(&self) -> bool {
+        self.record.phase == GroupPhase::Steady
+    }
+
+    /// The primary, unless it is being replaced.
+    pub fn confirmed_primary(&self) -> Option<&DatabaseName> {
+        self.is_steady().then_some(&self.record.primary)
+    }
+
+    /// True if `position` is held by a majority of the counting databases, and
+    /// by one of those that will remain once the draining ones have left.
+    pub fn is_held_by_majority(&self, position: LogPosition) -> bool {
+        let counting: Vec<&MemberRecord> = self.record.counting().collect();
+        let staying: Vec<&MemberRecord> = counting
+            .iter()
+            .copied()
+            .filter(|member| member.standing == MemberStanding::Counting)
+            .collect();
+        self.majority_holds(&counting, position)
+            && (staying.is_empty() || self.majority_holds(&staying, position))
+    }
+
+    fn majority_holds(&self, members: &[&MemberRecord], position: LogPosition) -> bool {
+        let holders = members.iter().filter(|member| self.holds(member, position));
+        holders.count() > members.len() / 2
+    }
+
+    /// The primary holds what it wrote itself, before it next reports.
+    fn holds(&self, member: &MemberRecord, position: LogPosition) -> bool {
+        let wrote = member.database == self.record.primary && position.term == self.record.term;
+        let view = self.databases.get(&member.database);
+        wrote || view.is_some_and(|view| view.covers(position))
+    }
+
+    /// The primary's position in its last report of the term in force.
+    pub fn primary_position(&self) -> Option<LogPosition> {
+        let observed = self.databases.get(&self.record.primary)?.observed.as_ref()?;
+        (observed.status.term == self.record.term).then_some(observed.status.position)
+    }
+
+    /// Requests that wait for a database.
+    pub fn waiting(&self) -> usize {
+        self.writes.len() + self.reads.len()
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/host_effect.rs
@@ -0,0 +1,95 @@
+use std::net::SocketAddr;
+
+use super::PeerMessage;
+use crate::{
+    agreement::JournalRecord,
+    control::{ControlAnswer, Plan},
+    failover::DatabaseOrder,
+    identity::{DatabaseName, HostId, RequestId},
+    outcomes::ResultCode,
+    positions::LogPosition,
+};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Conclusion {
+    /// How it ended.
+    pub result: ResultCode,
+    /// The session's mark from now on, if it changed.
+    pub mark: Option<LogPosition>,
+}
+
+/// Output of a host, in the order in which it must be carried out.
+#[derive(Debug, Clone)]
+pub enum HostEffect {
+    /// Send a message to another host.
+    Send(HostId, PeerMessage),
+    /// Append records to the journal, sync, then report the number.
+    Persist {
+        /// Number to report back.
+        number: u64,
+        /// Records in order.
+        records: Vec<JournalRecord>,
+    },
+    /// Keep asking a database for its report.
+    Watch {
+        /// The database.
+        database: DatabaseName,
+        /// Where it is.
+        address: SocketAddr,
+    },
+    /// Stop asking, and close idle connections to it.
+    Unwatch(DatabaseName),
+    /// Give an order to a database and report its answer.
+    Order {
+        /// The database.
+        database: DatabaseName,
+        /// Where it is.
+        address: SocketAddr,
+        /// The order.
+        order: DatabaseOrder,
+    },
+    /// The request may use a connection to this database.
+    Dispatch {
+        /// The request.
+        request: RequestId,
+        /// The database.
+        database: DatabaseName,
+        /// Where it is.
+        address: SocketAddr,
+        /// The database is the group's primary.
+        is_primary: bool,
+    },
+    /// The request is over.
+    Conclude(RequestId, Conclusion),
+    /// Answer to a question for a plan.
+    PlanAnswer {
+        /// Number of the question.
+        ticket: u64,
+        /// The plan, or what is wrong with the intent.
+        answer: Result<Plan, String>,
+    },
+    /// Answer to a confirmation.
+    ConfirmAnswer {
+        /// Number of the question.
+        ticket: u64,
+        /// The answer.
+        answer: ControlAnswer,
+    },
+    /// This host cannot answer an operator; ask the leader.
+    NotCurrent {
+        /// Number of the question.
+        ticket: u64,
+        /// The leader, if known.
+        leader: Option<HostId>,
+    },
+    /// An announcement was refused.
+    AnnouncementRefused {
+        /// The database.
+        database: DatabaseName,
+        /// Why.
+        result: ResultCode,
+    },
+    /// A fact worth a line in the log.
+    Note(String),
+}
--- /dev/null
+++ b/crates/decisions/src/host/lease_flow.rs
@@ -0,0 +1,92 @@
+use super::{HostState, LeaseGrant, LeaseRequest, PeerMessage};
+use crate::{clock::Moment, control::ControlCommand, identity::HostId};
+
+/// Unanswered lease requests after which another voter is asked for the leader.
+const UNANSWERED_LIMIT: u32 = 2;
+
+impl HostState {
+    pub(super) fn tend_lease(&mut self, now: Moment) {
+        if now < self.lease_due {
+            return;
+        }
+        self.lease_due = now + self.settings.lease_renewal;
+        if self.is_current_leader(now) {
+            return self.renew_own_lease(now);
+        }
+        let Some(to) = self.lease_target() else {
+            return;
+        };
+        self.lease_asked += 1;
+        let request = LeaseRequest {
+            record: self.settings.record.clone(),
+            sent_at: now,
+            applied: self.control.applied,
+        };
+        self.send(to, PeerMessage::LeaseRequest(request));
+    }
+
+    /// The known leader, or voters in turn while it does not answer.
+    fn lease_target(&self) -> Option<HostId> {
+        let me = self.settings.id();
+        let known = self.leader.filter(|leader| *leader != me);
+        if self.lease_asked <= UNANSWERED_LIMIT && known.is_some() {
+            return known;
+        }
+        let voters: Vec<HostId> =
+            self.settings.voters.iter().copied().filter(|voter| *voter != me).collect();
+        let turn = self.lease_asked as usize % voters.len().max(1);
+        voters.get(turn).copied()
+    }
+
+    fn renew_own_lease(&mut self, now: Moment) {
+        let me = self.settings.id();
+        let record = self.settings.record.clone();
+        let required = self.agreement.as_ref().map_or(0, |agreement| agreement.commit());
+        let Some(duty) = &mut self.duty else {
+            return;
+        };
+        let duration = duty.leases.grant(now, me);
+        self.lease.extend(now, duration, required);
+        self.lease_asked = 0;
+        self.note_host(now, record);
+    }
+
+    pub(super) fn lease_requested(&mut self, now: Moment, from: HostId, request: LeaseRequest) {
+        let required = self.agreement.as_ref().map_or(0, |agreement| agreement.commit());
+        let current = self.is_current_leader(now);
+        let Some(duty) = self.duty.as_mut().filter(|_| current) else {
+            let leader = self.leader;
+            return self.send(from, PeerMessage::LeaderIs(leader));
+        };
+        let duration = duty.leases.grant(now, from);
+        let grant = LeaseGrant { sent_at: request.sent_at, duration, required_index: required };
+        self.send(from, PeerMessage::LeaseGrant(grant));
+        self.note_host(now, request.record);
+    }
+
+    pub(super) fn lease_granted(&mut self, now: Moment, from: HostId, grant: &LeaseGrant) {
+        self.leader = Some(from);
+        self.lease_asked = 0;
+        self.lease.extend(grant.sent_at, grant.duration, grant.required_index);
+        self.pump_all(now);
+    }
+
+    pub(super) fn leader_named(&mut self, now: Moment, leader: Option<HostId>) {
+        if leader.is_some() && self.leader != leader {
+            self.leader = leader;
+            self.lease_asked = 0;
+            self.lease_due = now;
+        }
+    }
+
+    /// Commits a host's facts when they are new.
+    fn note_host(&mut self, now: Moment, record: crate::control::HostRecord) {
+        let known = self.control.hosts.get(&record.id);
+        let same = known.is_some_and(|known| {
+            known.peer_address == record.peer_address && known.data_centre == record.data_centre
+        });
+        if !same {
+            self.propose_once(now, ControlCommand::HostJoined(record));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/mark_flow.rs
@@ -0,0 +1,157 @@
+use std::time::Duration;
+
+use super::{HostState, MarkAnswer, MarkQuery, PeerMessage};
+use crate::{
+    clock::Moment,
+    identity::{HostId, RequestId, SessionId},
+    outcomes::ResultCode,
+    positions::LogPosition,
+    requests::{MarkSource, RequestPhase},
+    sessions::{StoredMark, session_keepers},
+};
+
+/// Time that keepers get to answer before the primary is asked instead.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time that keepers get to store a mark.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+impl HostState {
+    fn keepers(&self, session: &SessionId) -> Vec<HostId> {
+        session_keepers(session, self.control.hosts.keys().copied())
+    }
+
+    /// Asks all keepers of the request's session for its mark.
+    pub(super) fn look_up_mark(&mut self, now: Moment, request: RequestId) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(session) = record.arrival.session.clone() else {
+            return self.enqueue(now, request);
+        };
+        let group = record.arrival.group.clone();
+        let floor = match record.arrival.mark {
+            MarkSource::Known(mark) | MarkSource::Keepers(mark) => mark,
+        };
+        let until = now + LOOKUP_TIMEOUT;
+        let keepers = self.keepers(&session);
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.phase = RequestPhase::LookingUp {
+                waiting: keepers.iter().copied().collect(),
+                found: Some(floor),
+                until,
+            };
+        }
+        self.set_deadline(request, until);
+        let hosts_version = self.control.hosts_version;
+        for keeper in keepers {
+            let query = MarkQuery {
+                request,
+                session: session.clone(),
+                group: group.clone(),
+                hosts_version,
+            };
+            if keeper == self.settings.id() {
+                let mark = self.find_mark(&query);
+                self.mark_answered(now, keeper, MarkAnswer { request, mark });
+            } else {
+                self.send(keeper, PeerMessage::MarkQuery(query));
+            }
+        }
+    }
+
+    fn find_mark(&mut self, query: &MarkQuery) -> Option<LogPosition> {
+        self.check_marks_version();
+        if query.hosts_version != self.marks_version {
+            return None;
+        }
+        self.marks.find(&query.session, &query.group)
+    }
+
+    /// Marks kept under another set of hosts may be old: a newer one may have
+    /// gone to other keepers.
+    fn check_marks_version(&mut self) {
+        if self.marks_version != self.control.hosts_version {
+            self.marks_version = self.control.hosts_version;
+            self.marks = Default::default();
+        }
+    }
+
+    pub(super) fn mark_asked(&mut self, from: HostId, query: MarkQuery) {
+        let mark = self.find_mark(&query);
+        let answer = MarkAnswer { request: query.request, mark };
+        self.send(from, PeerMessage::MarkAnswer(answer));
+    }
+
+    pub(super) fn mark_answered(&mut self, now: Moment, from: HostId, answer: MarkAnswer) {
+        let request = answer.request;
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let RequestPhase::LookingUp { waiting, found, .. } = &mut record.phase else {
+            return;
+        };
+        if !waiting.remove(&from) {
+            return;
+        }
+        *found = match (*found, answer.mark) {
+            (Some(highest), Some(mark)) => Some(highest.max(mark)),
+            _ => None,
+        };
+        if waiting.is_empty() || found.is_none() {
+            record.mark = *found;
+            self.enqueue(now, request);
+        }
+    }
+
+    /// Stores a named session's mark before its write is answered.
+    pub(super) fn store_mark(&mut self, now: Moment, request: RequestId, mark: LogPosition) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(session) = record.arrival.session.clone() else {
+            return self.conclude(now, request, ResultCode::Done, Some(mark));
+        };
+        let until = now + STORE_TIMEOUT;
+        record.phase = RequestPhase::StoringMark { mark, until };
+        let group = record.arrival.group.clone();
+        self.set_deadline(request, until);
+        self.send_mark(now, request, StoredMark { session, group, mark });
+    }
+
+    /// Hands a mark to the session's keepers.
+    pub(super) fn send_mark(&mut self, now: Moment, request: RequestId, stored: StoredMark) {
+        let hosts_version = self.control.hosts_version;
+        for keeper in self.keepers(&stored.session) {
+            if keeper == self.settings.id() {
+                self.check_marks_version();
+                self.marks.raise(stored.clone());
+                self.mark_stored(now, request);
+            } else {
+                let stored = stored.clone();
+                self.send(keeper, PeerMessage::MarkStore { request, stored, hosts_version });
+            }
+        }
+    }
+
+    pub(super) fn mark_received(
+        &mut self,
+        from: HostId,
+        request: RequestId,
+        stored: StoredMark,
+        hosts_version: u64,
+    ) {
+        self.check_marks_version();
+        if hosts_version == self.marks_version {
+            self.marks.raise(stored);
+            self.send(from, PeerMessage::MarkStored { request });
+        }
+    }
+
+    /// One keeper is enough: a lookup needs the word of all of them.
+    pub(super) fn mark_stored(&mut self, now: Moment, request: RequestId) {
+        let phase = self.requests.get(&request).map(|record| record.phase.clone());
+        if let Some(RequestPhase::StoringMark { mark, .. }) = phase {
+            self.conclude(now, request, ResultCode::Done, Some(mark));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/mod.rs
@@ -0,0 +1,21 @@
+//! A host's whole logic: events in, effects out.
+
+mod control_flow;
+mod group_view;
+mod host_effect;
+mod host_event;
+mod host_settings;
+mod host_state;
+mod leader_duty;
+mod lease_flow;
+mod mark_flow;
+mod peer_message;
+mod report_flow;
+mod request_flow;
+
+pub use group_view::{GroupView, UnconfirmedWrite};
+pub use host_effect::{Conclusion, HostEffect};
+pub use host_event::{ExecutionReport, HostEvent};
+pub use host_settings::HostSettings;
+pub use host_state::HostState;
+pub use peer_message::{LeaseGrant, LeaseRequest, MarkAnswer, MarkQuery, PeerMessage};
--- /dev/null
+++ b/crates/decisions/src/host/peer_message.rs
@@ -0,0 +1,149 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    agreement::AgreementMessage,
+    clock::Moment,
+    control::{ControlCommand, ControlState, HostRecord},
+    directory::Announcement,
+    identity::{DatabaseName, GroupName, HostId, RequestId, SessionId},
+    positions::LogPosition,
+    sessions::StoredMark,
+};
+
+/// Asks control's leader for a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Facts of the asking host.
+    pub record: HostRecord,
+    /// When it asked, on its own clock; echoed.
+    pub sent_at: Moment,
+    /// Commands that it has applied.
+    pub applied: u64,
+}
+
+/// Grants a lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseGrant {
+    /// Echo of the holder's time; the lease counts from there.
+    pub sent_at: Moment,
+    /// Length of the lease.
+    pub duration: Duration,
+    /// Commands that must be applied before the lease counts.
+    pub required_index: u64,
+}
+
+/// Asks a keeper for a session's mark.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MarkQuery {
+    /// The request that waits for it.
+    pub request: RequestId,
+    /// The session.
+    pub session: SessionId,
+    /// The group.
+    pub group: GroupName,
+    /// Version of the set of hosts by which the keeper was chosen.
+    pub hosts_version: u64,
+}
+
+/// A keeper's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MarkAnswer {
+    /// The request that waits for it.
+    pub request: RequestId,
+    /// The mark; `None` means not known.
+    pub mark: Option<LogPosition>,
+}
+
+/// Messages between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Between voters.
+    Agreement(AgreementMessage),
+    /// To control's leader, or to any voter that may know it.
+    LeaseRequest(LeaseRequest),
+    /// From control's leader.
+    LeaseGrant(LeaseGrant),
+    /// The receiver asked a host that does not lead.
+    LeaderIs(Option<HostId>),
+    /// To a voter: send what follows this index.
+    Subscribe {
+        /// Commands applied so far.
+        applied: u64,
+    },
+    /// Commands that follow `first_index - 1`.
+    Updates {
+        /// Index of the first command.
+        first_index: u64,
+        /// Commands in order.
+        commands: Vec<ControlCommand>,
+    },
+    /// The whole configuration, for a host that is far behind.
+    State(Box<ControlState>),
+    /// An announcement on its way to control's leader.
+    Announced(Announcement),
+    /// To control's leader: this home cannot use the primary of `term`.
+    SuspectPrimary {
+        /// The group.
+        group: GroupName,
+        /// The term.
+        term: u64,
+    },
+    /// To control's leader: this home acknowledges nothing below `term`.
+    TermFenced {
+        /// The group.
+        group: GroupName,
+        /// The term.
+        term: u64,
+    },
+    /// To control's leader: a member does not follow the group's term, or has
+    /// caught up and could count.
+    MemberReport {
+        /// The group.
+        group: GroupName,
+        /// The members that do not follow.
+        astray: Vec<DatabaseName>,
+        /// Joining members that hold what the primary had when asked.
+        caught_up: Vec<DatabaseName>,
+        /// Draining members without which a majority holds all that the
+        /// primary had when asked.
+        removable: Vec<DatabaseName>,
+    },
+    /// To a keeper.
+    MarkQuery(MarkQuery),
+    /// From a keeper.
+    MarkAnswer(MarkAnswer),
+    /// To a keeper: keep this mark.
+    MarkStore {
+        /// The request whose answer waits for it.
+        request: RequestId,
+        /// The mark.
+        stored: StoredMark,
+        /// Version of the set of hosts by which the keeper was chosen.
+        hosts_version: u64,
+    },
+    /// From a keeper: the mark is kept.
+    MarkStored {
+        /// The request whose answer waits for it.
+        request: RequestId,
+    },
+}
+
+impl PeerMessage {
+    /// Name of the kind of message, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Agreement(_) => "agreement",
+            Self::LeaseRequest(_) | Self::LeaseGrant(_) | Self::LeaderIs(_) => "lease",
+            Self::Subscribe { .. } | Self::Updates { .. } | Self::State(_) => "configuration",
+            Self::Announced(_) => "announcement",
+            Self::SuspectPrimary { .. } | Self::TermFenced { .. } => "failover",
+            Self::MemberReport { .. } => "members",
+            Self::MarkQuery(_)
+            | Self::MarkAnswer(_)
+            | Self::MarkStore { .. }
+            | Self::MarkStored { .. } => "marks",
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/report_flow.rs
@@ -0,0 +1,182 @@
+use std::time::Duration;
+
+use super::{GroupView, HostState, PeerMessage};
+use crate::{
+    clock::Moment,
+    control::MemberStanding,
+    directory::{DatabaseRole, DatabaseStatus, ObservedStatus},
+    identity::{DatabaseName, GroupName},
+    positions::LogPosition,
+};
+
+/// Time between words to the leader about one group.
+const LEADER_WORD_INTERVAL: Duration = Duration::from_millis(60);
+/// Time between reports on a group's members.
+const MEMBER_REPORT_INTERVAL: Duration = Duration::from_millis(300);
+/// Failures to connect after which the primary is suspected early.
+const FAILURES_TO_SUSPECT: u32 = 2;
+/// Shortest silence of a primary that refuses connections.
+const REFUSAL_SILENCE: Duration = Duration::from_millis(150);
+
+impl HostState {
+    pub(super) fn reported(
+        &mut self,
+        now: Moment,
+        database: &DatabaseName,
+        sent_at: Moment,
+        status: DatabaseStatus,
+    ) {
+        let Some(name) = self.database_groups.get(database).cloned() else {
+            return;
+        };
+        let Some(group) = self.groups.get_mut(&name) else {
+            return;
+        };
+        let is_primary = *database == group.record.primary
+            && status.role == DatabaseRole::Primary
+            && status.term == group.record.term;
+        if is_primary {
+            group.primary_heard_at = now;
+            group.primary_failures = 0;
+            group.samples.record(sent_at, status.position);
+        }
+        if let Some(view) = group.databases.get_mut(database) {
+            view.record_report(ObservedStatus { status, sent_at, received_at: now });
+        }
+        group.follow_majority(now);
+        self.confirm_writes(now, &name);
+        self.pump(now, &name);
+    }
+
+    pub(super) fn report_failed(&mut self, now: Moment, database: &DatabaseName) {
+        let Some(name) = self.database_groups.get(database) else {
+            return;
+        };
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        if *database == group.record.primary {
+            group.primary_failures = group.primary_failures.saturating_add(1);
+        }
+        if let Some(view) = group.databases.get_mut(database) {
+            view.record_failure(now);
+        }
+    }
+
+    pub(super) fn tend_groups(&mut self, now: Moment) {
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for name in names {
+            self.tend_group(now, &name);
+        }
+    }
+
+    /// Tells the leader what this home sees and has done for a group.
+    pub(super) fn tend_group(&mut self, now: Moment, name: &GroupName) {
+        let has_lease = self.has_lease(now);
+        let suspect_after = self.settings.suspect_after;
+        let stall_after = self.settings.stall_after;
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        if now.since(group.members_reported_at) >= MEMBER_REPORT_INTERVAL
+            && let Some(report) = group.member_report()
+        {
+            group.members_reported_at = now;
+            return self.send_leader(now, report);
+        }
+        if now.since(group.leader_told_at) < LEADER_WORD_INTERVAL {
+            return;
+        }
+        if !group.is_steady() {
+            group.leader_told_at = now;
+            let term = group.record.highest_term();
+            let word = PeerMessage::TermFenced { group: name.clone(), term };
+            return self.send_leader(now, word);
+        }
+        if has_lease && group.suspects_primary(now, suspect_after, stall_after) {
+            group.leader_told_at = now;
+            let term = group.record.term;
+            let word = PeerMessage::SuspectPrimary { group: name.clone(), term };
+            self.send_leader(now, word);
+        }
+    }
+}
+
+impl GroupView {
+    /// Notes progress of replication: the highest position that a majority
+    /// holds, and when it last moved or had nothing to do.
+    fn follow_majority(&mut self, now: Moment) {
+        let Some(last) = self.primary_position() else {
+            return;
+        };
+        let mut held: Vec<LogPosition> = self
+            .record
+            .counting()
+            .filter_map(|member| self.databases.get(&member.database)?.observed.as_ref())
+            .map(|observed| observed.status.position)
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = held.get(self.record.majority() - 1).copied().unwrap_or_default();
+        if majority > self.majority_held || majority >= last {
+            self.majority_moved_at = now;
+        }
+        self.majority_held = self.majority_held.max(majority);
+    }
+
+    fn suspects_primary(&self, now: Moment, after: Duration, stall_after: Duration) -> bool {
+        let silence = now.since(self.primary_heard_at);
+        let refused = self.primary_failures >= FAILURES_TO_SUSPECT && silence >= REFUSAL_SILENCE;
+        let stalled = now.since(self.majority_moved_at) >= stall_after && self.replicas_answer(now);
+        refused || silence >= after || stalled
+    }
+
+    /// True if replicas report but do not get on: the primary is cut off from
+    /// them though not from this host.
+    fn replicas_answer(&self, now: Moment) -> bool {
+        let answering = self
+            .record
+            .counting()
+            .filter(|member| member.database != self.record.primary)
+            .filter_map(|member| self.databases.get(&member.database)?.observed.as_ref())
+            .filter(|observed| now.since(observed.received_at) < Duration::from_millis(500))
+            .count();
+        answering + 1 >= self.record.majority()
+    }
+
+    /// Members that need an order or a change of standing, if there are any.
+    fn member_report(&self) -> Option<PeerMessage> {
+        if !self.is_steady() {
+            return None;
+        }
+        let last = self.primary_position();
+        let mut astray = Vec::new();
+        let mut caught_up = Vec::new();
+        let mut removable = Vec::new();
+        for (database, view) in &self.databases {
+            let Some(observed) = &view.observed else {
+                continue;
+            };
+            let status = &observed.status;
+            let is_primary = *database == self.record.primary;
+            let follows = status.term == self.record.term && status.role == DatabaseRole::Replica;
+            if !is_primary && !follows {
+                astray.push(database.clone());
+            }
+            let Some(last) = last else {
+                continue;
+            };
+            match view.record.standing {
+                MemberStanding::Joining if follows && status.covers(last) => {
+                    caught_up.push(database.clone());
+                }
+                MemberStanding::Draining if !is_primary && self.is_held_by_majority(last) => {
+                    removable.push(database.clone());
+                }
+                _ => {}
+            }
+        }
+        let empty = astray.is_empty() && caught_up.is_empty() && removable.is_empty();
+        let group = self.record.name.clone();
+        (!empty).then_some(PeerMessage::MemberReport { group, astray, caught_up, removable })
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/host/request_flow.rs
@@ -0,0 +1,407 @@
+use std::time::Duration;
+
+use super::{Conclusion, ExecutionReport, GroupView, HostEffect, HostState, UnconfirmedWrite};
+use crate::{
+    clock::Moment,
+    directory::DatabaseStatus,
+    identity::{DatabaseName, GroupName, RequestId},
+    outcomes::ResultCode,
+    positions::LogPosition,
+    requests::{MarkSource, RequestArrival, RequestKind, RequestPhase, RequestRecord},
+    routing::{DatabaseChoice, RouteQuery, choose_database},
+    sessions::StoredMark,
+};
+
+/// Shortest time that a committed write waits for a majority.
+const MAJORITY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Waiting reads looked at in one go.
+const READ_SCAN: usize = 64;
+
+/// What the group says of a write that waits for a majority.
+enum WriteStanding {
+    Held,
+    Discarded,
+    Waiting,
+}
+
+impl HostState {
+    pub(super) fn arrived(&mut self, now: Moment, arrival: RequestArrival) {
+        let request = arrival.request;
+        let mark = match arrival.mark {
+            MarkSource::Known(mark) => Some(mark),
+            MarkSource::Keepers(_) => None,
+        };
+        let asks_keepers =
+            matches!(arrival.mark, MarkSource::Keepers(_)) && arrival.kind != RequestKind::Write;
+        let refusal = self.check_arrival(&arrival);
+        let deadline = arrival.deadline;
+        let record = RequestRecord { arrival, mark, phase: RequestPhase::Queued };
+        self.requests.insert(request, record);
+        if let Some(result) = refusal {
+            return self.conclude(now, request, result, None);
+        }
+        self.set_deadline(request, deadline);
+        if asks_keepers {
+            self.look_up_mark(now, request);
+        } else {
+            self.enqueue(now, request);
+        }
+    }
+
+    fn check_arrival(&self, arrival: &RequestArrival) -> Option<ResultCode> {
+        match self.groups.get(&arrival.group) {
+            Some(group) if group.waiting() >= group.max_waiting => Some(ResultCode::QueueFull),
+            Some(_) => None,
+            None if self.control.groups.contains_key(&arrival.group) => {
+                Some(ResultCode::NoDatabase)
+            }
+            None => Some(ResultCode::UnknownGroup),
+        }
+    }
+
+    /// Puts a request whose mark is settled into its group's queue.
+    pub(super) fn enqueue(&mut self, now: Moment, request: RequestId) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        record.phase = RequestPhase::Queued;
+        let name = record.arrival.group.clone();
+        let deadline = record.arrival.deadline;
+        let is_write = record.arrival.kind == RequestKind::Write;
+        let Some(group) = self.groups.get_mut(&name) else {
+            return self.conclude(now, request, ResultCode::NoDatabase, None);
+        };
+        match is_write {
+            true => group.writes.push_back(request),
+            false => group.reads.push_back(request),
+        }
+        self.set_deadline(request, deadline);
+        self.pump(now, &name);
+    }
+
+    pub(super) fn pump_all(&mut self, now: Moment) {
+        let names: Vec<GroupName> = self.groups.keys().cloned().collect();
+        for name in names {
+            self.pump(now, &name);
+        }
+    }
+
+    /// Sends waiting requests to databases, writes first.
+    pub(super) fn pump(&mut self, now: Moment, name: &GroupName) {
+        if !self.has_lease(now) {
+            return;
+        }
+        while let Some(request) = self.groups.get(name).and_then(|g| g.writes.front().copied()) {
+            let Some(database) = self.choose(now, name, request) else {
+                break;
+            };
+            if let Some(group) = self.groups.get_mut(name) {
+                group.writes.pop_front();
+            }
+            self.dispatch(now, name, request, database);
+        }
+        let mut position = 0;
+        while position < READ_SCAN {
+            let waiting = self.groups.get(name).and_then(|g| g.reads.get(position).copied());
+            let Some(request) = waiting else {
+                break;
+            };
+            let Some(database) = self.choose(now, name, request) else {
+                position += 1;
+                continue;
+            };
+            if let Some(group) = self.groups.get_mut(name) {
+                group.reads.remove(position);
+            }
+            self.dispatch(now, name, request, database);
+        }
+    }
+
+    fn choose(&self, now: Moment, name: &GroupName, request: RequestId) -> Option<DatabaseName> {
+        let group = self.groups.get(name)?;
+        let record = self.requests.get(&request)?;
+        let query = RouteQuery {
+            now,
+            kind: record.arrival.kind,
+            mark: record.mark,
+            primary: group.confirmed_primary(),
+            term: group.record.term,
+            data_centre: &self.settings.record.data_centre,
+            samples: &group.samples,
+        };
+        match choose_database(&query, group.databases.values()) {
+            DatabaseChoice::Use(database) => Some(database),
+            DatabaseChoice::Wait => None,
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Moment,
+        name: &GroupName,
+        request: RequestId,
+        database: DatabaseName,
+    ) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        let Some(view) = group.databases.get_mut(&database) else {
+            return;
+        };
+        view.in_use += 1;
+        let address = view.record.address;
+        let is_primary = database == group.record.primary;
+        let term = group.record.term;
+        if let Some(record) = self.requests.get_mut(&request) {
+            record.phase = RequestPhase::Running { database: database.clone(), term, since: now };
+        }
+        self.effects.push(HostEffect::Dispatch { request, database, address, is_primary });
+    }
+
+    pub(super) fn executed(&mut self, now: Moment, request: RequestId, report: ExecutionReport) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let RequestPhase::Running { database, term, since } = record.phase.clone() else {
+            return;
+        };
+        let name = record.arrival.group.clone();
+        let kind = record.arrival.kind;
+        self.release(now, &name, &database, since, report);
+        match report {
+            ExecutionReport::Read(position) => {
+                self.read_done(now, request, &name, &database, term, position);
+            }
+            ExecutionReport::Written(position) => self.written(now, request, &name, position),
+            ExecutionReport::RolledBack => {
+                self.conclude(now, request, ResultCode::Done, None);
+            }
+            ExecutionReport::NotRun => self.enqueue(now, request),
+            ExecutionReport::Lost if kind == RequestKind::Write => {
+                self.conclude(now, request, ResultCode::ConnectionLost, None);
+            }
+            ExecutionReport::Lost => self.enqueue(now, request),
+        }
+        self.pump(now, &name);
+    }
+
+    fn release(
+        &mut self,
+        now: Moment,
+        name: &GroupName,
+        database: &DatabaseName,
+        since: Moment,
+        report: ExecutionReport,
+    ) {
+        let view = self.groups.get_mut(name).and_then(|g| g.databases.get_mut(database));
+        let Some(view) = view else {
+            return;
+        };
+        view.in_use = view.in_use.saturating_sub(1);
+        match report {
+            ExecutionReport::Read(_)
+            | ExecutionReport::Written(_)
+            | ExecutionReport::RolledBack => {
+                view.record_success(now.since(since));
+            }
+            ExecutionReport::NotRun | ExecutionReport::Lost => view.record_failure(now),
+        }
+    }
+
+    /// A read at the primary counts only if that is still the primary when the
+    /// answer goes out; otherwise it is served again.
+    fn read_done(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        name: &GroupName,
+        database: &DatabaseName,
+        term: u64,
+        position: Option<LogPosition>,
+    ) {
+        let has_lease = self.has_lease(now);
+        let Some(group) = self.groups.get(name) else {
+            return self.conclude(now, request, ResultCode::NoDatabase, None);
+        };
+        let at_primary = *database == group.record.primary || term != group.record.term;
+        let confirmed = has_lease && group.is_steady() && term == group.record.term;
+        if at_primary && !confirmed {
+            return self.enqueue(now, request);
+        }
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let mark = position.max(record.mark);
+        let stored = match (&record.arrival.session, record.mark, mark) {
+            (Some(session), None, Some(mark)) => {
+                Some(StoredMark { session: session.clone(), group: name.clone(), mark })
+            }
+            _ => None,
+        };
+        if let Some(stored) = stored {
+            self.send_mark(now, request, stored);
+        }
+        self.conclude(now, request, ResultCode::Done, mark);
+    }
+
+    fn written(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        name: &GroupName,
+        position: LogPosition,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        record.phase = RequestPhase::AwaitingMajority { position };
+        let deadline = record.arrival.deadline.max(now + MAJORITY_TIMEOUT);
+        record.arrival.deadline = deadline;
+        self.set_deadline(request, deadline);
+        let Some(group) = self.groups.get_mut(name) else {
+            return self.conclude(now, request, ResultCode::ReplacedInFlight, None);
+        };
+        group.unconfirmed.insert(UnconfirmedWrite { position, request });
+        self.confirm_writes(now, name);
+    }
+
+    /// Answers the writes that a majority holds by now.
+    pub(super) fn confirm_writes(&mut self, now: Moment, name: &GroupName) {
+        if !self.has_lease(now) {
+            return;
+        }
+        let Some(group) = self.groups.get_mut(name).filter(|group| group.is_steady()) else {
+            return;
+        };
+        let mut settled = Vec::new();
+        for write in &group.unconfirmed {
+            match group.write_standing(write.position) {
+                WriteStanding::Waiting => break,
+                WriteStanding::Held => settled.push((*write, true)),
+                WriteStanding::Discarded => settled.push((*write, false)),
+            }
+        }
+        for (write, _) in &settled {
+            group.unconfirmed.remove(write);
+        }
+        for (write, held) in settled {
+            if held {
+                self.store_mark(now, write.request, write.position);
+            } else {
+                self.conclude(now, write.request, ResultCode::WriteDiscarded, None);
+            }
+        }
+    }
+
+    /// Ends a request whose caller is gone. A running one keeps its connection
+    /// until its execution is reported.
+    pub(super) fn abandoned(&mut self, now: Moment, request: RequestId) {
+        let running = self
+            .requests
+            .get(&request)
+            .is_some_and(|record| matches!(record.phase, RequestPhase::Running { .. }));
+        if !running {
+            self.conclude(now, request, ResultCode::Cancelled, None);
+        }
+    }
+
+    pub(super) fn expire_requests(&mut self, now: Moment) {
+        while let Some(deadline) = self.deadlines.first().copied() {
+            if deadline.at > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            self.expire(now, deadline.request);
+        }
+    }
+
+    fn expire(&mut self, now: Moment, request: RequestId) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let deadline = record.arrival.deadline;
+        match &record.phase {
+            RequestPhase::LookingUp { until, .. } if *until <= now => {
+                record.mark = None;
+                self.enqueue(now, request);
+            }
+            RequestPhase::Queued if deadline <= now => {
+                let result = self.late_result(now, request);
+                self.conclude(now, request, result, None);
+            }
+            RequestPhase::AwaitingMajority { .. } if deadline <= now => {
+                self.conclude(now, request, ResultCode::MajorityLate, None);
+            }
+            RequestPhase::StoringMark { until, .. } if *until <= now => {
+                self.conclude(now, request, ResultCode::MarkNotStored, None);
+            }
+            _ => {}
+        }
+    }
+
+    /// Why a request waited too long.
+    fn late_result(&self, now: Moment, request: RequestId) -> ResultCode {
+        let group =
+            self.requests.get(&request).and_then(|record| self.groups.get(&record.arrival.group));
+        match group {
+            _ if !self.has_lease(now) => ResultCode::LeaseExpired,
+            Some(group) if !group.is_steady() => ResultCode::PrimaryReplaced,
+            _ => ResultCode::DeadlinePassed,
+        }
+    }
+
+    /// Ends a request and forgets it.
+    pub(super) fn conclude(
+        &mut self,
+        _now: Moment,
+        request: RequestId,
+        result: ResultCode,
+        mark: Option<LogPosition>,
+    ) {
+        let Some(record) = self.requests.remove(&request) else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(&record.arrival.group) {
+            group.forget(request, &record.phase);
+        }
+        self.effects.push(HostEffect::Conclude(request, Conclusion { result, mark }));
+    }
+}
+
+impl GroupView {
+    fn write_standing(&self, position: LogPosition) -> WriteStanding {
+        if position.term == self.record.term {
+            return match self.is_held_by_majority(position) {
+                true => WriteStanding::Held,
+                false => WriteStanding::Waiting,
+            };
+        }
+        // The write was sent to a primary that was replaced since. Only the
+        // new primary's own report tells whether its branch holds the write.
+        let primary = self.databases.get(&self.record.primary);
+        let status = primary.and_then(|view| view.observed.as_ref()).map(|o| &o.status);
+        match status {
+            Some(status) if !self.speaks_for_term(status) => WriteStanding::Waiting,
+            Some(status) if !status.covers(position) => WriteStanding::Discarded,
+            Some(_) if self.is_held_by_majority(position) => WriteStanding::Held,
+            _ => WriteStanding::Waiting,
+        }
+    }
+
+    fn speaks_for_term(&self, status: &DatabaseStatus) -> bool {
+        status.term == self.record.term
+    }
+
+    fn forget(&mut self, request: RequestId, phase: &RequestPhase) {
+        match phase {
+            RequestPhase::Queued => {
+                self.writes.retain(|waiting| *waiting != request);
+                self.reads.retain(|waiting| *waiting != request);
+            }
+            RequestPhase::AwaitingMajority { position } => {
+                self.unconfirmed.remove(&UnconfirmedWrite { position: *position, request });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/outcomes/mod.rs
@@ -0,0 +1,7 @@
+//! What became of a request, and the numbered result codes.
+
+mod outcome;
+mod result_code;
+
+pub use outcome::Outcome;
+pub use result_code::ResultCode;
--- /dev/null
+++ b/crates/decisions/src/routing/mod.rs
@@ -0,0 +1,5 @@
+//! Which database serves a request.
+
+mod read_choice;
+
+pub use read_choice::{DatabaseChoice, RouteQuery, choose_database};
--- /dev/null
+++ b/crates/decisions/src/statements/mod.rs
@@ -0,0 +1,10 @@
+//! Reading callers' statements: what they do, and which settings they carry.
+
+mod caller_setting;
+mod classifier;
+mod hints;
+mod read_check;
+
+pub use caller_setting::{CallerSetting, SETTING_PREFIX, SettingError};
+pub use classifier::{SetAssignment, StatementClass, classify};
+pub use hints::read_hints;
--- /dev/null
+++ b/crates/decisions/tests/branch_cover.rs
@@ -0,0 +1,65 @@
+//! Which log positions a database holds, over changes of primary.
+
+use hawthornstack_decisions::positions::{BranchHistory, BranchStart, LogPosition};
+use proptest::prelude::*;
+
+fn history(starts: &[(u64, u64)]) -> BranchHistory {
+    BranchHistory::new(
+        starts.iter().map(|(term, base)| BranchStart { term: *term, base_offset: *base }),
+    )
+}
+
+#[test]
+fn discarded_tail() {
+    let after_change = history(&[(1, 0), (2, 10)]);
+    let held = LogPosition::new(2, 20);
+    assert!(after_change.covers(held, LogPosition::new(1, 10)));
+    assert!(
+        !after_change.covers(held, LogPosition::new(1, 11)),
+        "entry 11 of term 1 was discarded"
+    );
+    assert!(after_change.covers(held, LogPosition::new(2, 11)));
+    assert!(!after_change.covers(held, LogPosition::new(2, 10)), "entry 10 is of term 1");
+}
+
+#[test]
+fn lagging_replica() {
+    let joined = history(&[(1, 0), (2, 10)]);
+    let held = LogPosition::new(2, 4);
+    assert!(joined.covers(held, LogPosition::new(1, 4)));
+    assert!(!joined.covers(held, LogPosition::new(1, 9)), "it has not received entry 9 yet");
+}
+
+/// A log as the terms of its entries, for comparison entry by entry.
+fn log_of(starts: &[(u64, u64)], length: u64) -> Vec<u64> {
+    (1..=length)
+        .map(|offset| {
+            let written = starts.iter().rev().find(|(_, base)| *base < offset);
+            written.map_or(0, |(term, _)| *term)
+        })
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// `covers` agrees with looking for the entry in the log itself.
+    #[test]
+    fn agrees_with_log(
+        gaps in prop::collection::vec(0_u64..6, 1..5),
+        length in 0_u64..30,
+        term in 0_u64..6,
+        offset in 1_u64..30,
+    ) {
+        let mut base = 0;
+        let mut starts = Vec::new();
+        for (index, gap) in gaps.iter().enumerate() {
+            starts.push((index as u64 + 1, base));
+            base += gap;
+        }
+        let held = LogPosition::new(gaps.len() as u64, length);
+        let log = log_of(&starts, length);
+        let stands = log.get(offset as usize - 1) == Some(&term);
+        prop_assert_eq!(history(&starts).covers(held, LogPosition::new(term, offset)), stands);
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/session_tokens.rs
@@ -0,0 +1,61 @@
+//! Session tokens: what is accepted and what is refused.
+
+use hawthornstack_decisions::{
+    identity::{GroupName, SessionId},
+    positions::LogPosition,
+    sessions::{SessionToken, TokenError, TokenKey},
+};
+use proptest::prelude::*;
+
+fn token(mark: LogPosition) -> SessionToken {
+    SessionToken {
+        session: SessionId::new("worker-7").unwrap(),
+        group: GroupName::new("shiftbook.1").unwrap(),
+        mark,
+    }
+}
+
+#[test]
+fn round_trip() {
+    let key = TokenKey::derive("a secret of this test");
+    let sent = token(LogPosition::new(3, 901));
+    let text = sent.encode(&key);
+    assert_eq!(SessionToken::decode(&text, &key, &sent.group), Ok(sent));
+}
+
+#[test]
+fn foreign_tokens() {
+    let key = TokenKey::derive("a secret of this test");
+    let sent = token(LogPosition::new(3, 901));
+    let text = sent.encode(&key);
+    let other_key = TokenKey::derive("another deployment's secret");
+    assert_eq!(SessionToken::decode(&text, &other_key, &sent.group), Err(TokenError::BadSignature));
+    let other_group = GroupName::new("shiftbook.2").unwrap();
+    assert_eq!(SessionToken::decode(&text, &key, &other_group), Err(TokenError::OtherGroup));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_text_refused(text in "\\PC{0,300}") {
+        let key = TokenKey::derive("a secret of this test");
+        let group = GroupName::new("shiftbook.1").unwrap();
+        prop_assert!(SessionToken::decode(&text, &key, &group).is_err());
+    }
+
+    #[test]
+    fn changed_byte_refused(place in 0_usize..60, byte in 33_u8..126) {
+        let key = TokenKey::derive("a secret of this test");
+        let sent = token(LogPosition::new(3, 901));
+        let text = sent.encode(&key);
+        let mut bytes = text.clone().into_bytes();
+        let place = place % bytes.len();
+        prop_assume!(bytes[place] != byte);
+        bytes[place] = byte;
+        let changed = String::from_utf8(bytes).unwrap();
+        // A hexadecimal digit may change its case without changing its value.
+        prop_assume!(changed.to_lowercase() != text.to_lowercase());
+        prop_assert!(SessionToken::decode(&changed, &key, &sent.group).is_err());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cluster/lab_cluster.rs
@@ -0,0 +1,306 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
+
+use hawthornstack_daemon::{
+    kernel::DaemonKernel,
+    settings::{
+        ControlSettings, DaemonSettings, FailoverSettings, GroupSettings, HostIdentity,
+        ListenSettings, LogSettings, SessionSettings, VoterAddress,
+    },
+};
+use hawthornstack_decisions::{
+    control::{Declaration, Intent, ServiceDeclaration},
+    identity::{DataCentre, DatabaseName, GroupName, HostId},
+};
+use snafu::ResultExt;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    ClusterError, OperatorClient,
+    cluster_error::{DaemonSnafu, SystemSnafu, UpstreamSnafu},
+};
+use crate::{
+    deployments::Deployment,
+    upstreams::{StandInDatabase, StandInGroup, StandInSettings, announce_forever},
+};
+
+/// Longest wait for a cluster to serve.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// Sizes and delays of the upstreams.
+    pub deployment: Deployment,
+    /// Daemons.
+    pub daemons: u32,
+    /// Daemons that vote, the first ones.
+    pub voters: u32,
+    /// Homes of a group.
+    pub homes: usize,
+    /// Seed of the stand-ins.
+    pub seed: u64,
+}
+
+struct LabDaemon {
+    settings: DaemonSettings,
+    kernel: Option<DaemonKernel>,
+}
+
+/// A running cluster; its folders are removed when it is dropped.
+pub struct LabCluster {
+    /// What was started.
+    pub plan: ClusterPlan,
+    /// Groups of stand-ins, by instance.
+    pub groups: Vec<Arc<StandInGroup>>,
+    daemons: Vec<LabDaemon>,
+    folder: PathBuf,
+    cancel: CancellationToken,
+}
+
+impl LabCluster {
+    /// Starts upstreams and daemons, declares the service, and waits until
+    /// every daemon serves every group.
+    ///
+    /// # Errors
+    /// `ClusterError` if something does not start.
+    pub async fn start(plan: ClusterPlan) -> Result<Self, ClusterError> {
+        let folder =
+            std::env::temp_dir().join(format!("hawthornstack-{:x}", rand::random::<u64>()));
+        std::fs::create_dir_all(&folder).context(SystemSnafu)?;
+        let settings = daemon_settings(&plan, &folder)?;
+        let mut groups = Vec::new();
+        for instance in 1..=plan.deployment.instances {
+            let settings = stand_in_settings(&plan.deployment, instance)?;
+            let seed = plan.seed + u64::from(instance) * 100;
+            groups.push(StandInGroup::start(settings, seed).await.context(UpstreamSnafu)?);
+        }
+        let mut cluster =
+            Self { plan, groups, daemons: Vec::new(), folder, cancel: CancellationToken::new() };
+        for settings in settings {
+            let kernel = Some(DaemonKernel::start(&settings).await.context(DaemonSnafu)?);
+            cluster.daemons.push(LabDaemon { settings, kernel });
+        }
+        cluster.announce_all();
+        cluster.operator().carry_out(Intent::Declare(cluster.declaration())).await?;
+        cluster.wait_until_serving().await?;
+        Ok(cluster)
+    }
+
+    fn announce_all(&self) {
+        for database in self.groups.iter().flat_map(|group| &group.databases) {
+            self.announce(database.clone(), Arc::new(AtomicBool::new(false)));
+        }
+    }
+
+    /// Announces a database to the daemons until the cluster is dropped.
+    pub fn announce(&self, database: Arc<StandInDatabase>, leaving: Arc<AtomicBool>) {
+        let daemons = self.operator_addresses();
+        let cancel = self.cancel.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = cancel.cancelled() => {}
+                () = announce_forever(database, daemons, leaving) => {}
+            }
+        });
+    }
+
+    /// The service as operators declare it.
+    pub fn declaration(&self) -> Declaration {
+        let deployment = &self.plan.deployment;
+        let service = ServiceDeclaration {
+            instances: deployment.instances,
+            databases: deployment.databases,
+            max_waiting: 1_000,
+        };
+        Declaration { services: BTreeMap::from([(Arc::from(deployment.service), service)]) }
+    }
+
+    /// An operator of this cluster.
+    pub fn operator(&self) -> OperatorClient {
+        OperatorClient::new(self.operator_addresses())
+    }
+
+    /// Operators' addresses of all daemons.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.settings.listen.operators).collect()
+    }
+
+    /// Callers' addresses of all daemons.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.settings.listen.callers).collect()
+    }
+
+    /// Name of a group, by its place.
+    pub fn group_name(&self, index: usize) -> String {
+        format!("{}.{}", self.plan.deployment.service, index + 1)
+    }
+
+    /// Waits until every running daemon may serve and knows every group.
+    ///
+    /// # Errors
+    /// `ClusterError::Late` after 20 s.
+    pub async fn wait_until_serving(&self) -> Result<(), ClusterError> {
+        let started_at = Instant::now();
+        while started_at.elapsed() < START_TIMEOUT {
+            if self.all_serve().await {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(30)).await;
+        }
+        Err(ClusterError::Late { what: "service by every daemon".to_owned() })
+    }
+
+    async fn all_serve(&self) -> bool {
+        let homes = self.plan.homes.min(self.plan.daemons as usize);
+        for daemon in self.daemons.iter().filter(|daemon| daemon.kernel.is_some()) {
+            let Some(status) = OperatorClient::status(daemon.settings.listen.operators).await
+            else {
+                return false;
+            };
+            let formed = status.groups.len() == self.groups.len();
+            let steady = status.groups.iter().all(|group| {
+                group.phase == "steady"
+                    && group.homes.len() == homes
+                    && (!group.homes.contains(&status.host)
+                        || group.members.iter().all(|member| !member.role.is_empty()))
+            });
+            if !(status.has_lease && formed && steady) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Stops a daemon gracefully.
+    pub async fn shut_down(&mut self, index: usize) {
+        if let Some(kernel) = self.daemons[index].kernel.take() {
+            kernel.shut_down().await;
+        }
+    }
+
+    /// Stops a daemon at once.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(kernel) = self.daemons[index].kernel.take() {
+            kernel.kill();
+        }
+    }
+
+    /// Starts a stopped daemon again with its data folder.
+    ///
+    /// # Errors
+    /// `ClusterError::Daemon` if it does not start.
+    pub async fn restart(&mut self, index: usize) -> Result<(), ClusterError> {
+        let daemon = &mut self.daemons[index];
+        for _ in 0..50 {
+            match DaemonKernel::start(&daemon.settings).await {
+                Ok(kernel) => {
+                    daemon.kernel = Some(kernel);
+                    return Ok(());
+                }
+                // The ports of the stopped daemon may still be closing.
+                Err(_) => sleep(Duration::from_millis(20)).await,
+            }
+        }
+        daemon.kernel = Some(DaemonKernel::start(&daemon.settings).await.context(DaemonSnafu)?);
+        Ok(())
+    }
+}
+
+impl Drop for LabCluster {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+        for daemon in &mut self.daemons {
+            if let Some(kernel) = daemon.kernel.take() {
+                kernel.kill();
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn invalid(error: impl std::fmt::Display) -> ClusterError {
+    ClusterError::Invalid { text: error.to_string() }
+}
+
+fn data_centre(deployment: &Deployment, number: u32) -> Result<DataCentre, ClusterError> {
+    let name = format!("{}-{}", deployment.region, number % deployment.data_centres + 1);
+    DataCentre::new(&name).map_err(invalid)
+}
+
+fn stand_in_settings(
+    deployment: &Deployment,
+    instance: u32,
+) -> Result<Vec<StandInSettings>, ClusterError> {
+    let group = GroupName::new(&format!("{}.{instance}", deployment.service)).map_err(invalid)?;
+    (1..=deployment.databases)
+        .map(|number| {
+            let name = format!("{}-{instance}-{number}", deployment.service);
+            Ok(StandInSettings {
+                database: DatabaseName::new(&name).map_err(invalid)?,
+                group: group.clone(),
+                data_centre: data_centre(deployment, instance + number)?,
+                slots: deployment.slots,
+                connections: deployment.connections,
+                connection_cost: deployment.connection_cost,
+                service_time: deployment.service_time,
+                lag: deployment.lag,
+                jitter: deployment.lag / 4,
+            })
+        })
+        .collect()
+}
+
+/// A free port of loopback.
+fn free_address() -> Result<SocketAddr, ClusterError> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").context(SystemSnafu)?;
+    listener.local_addr().context(SystemSnafu)
+}
+
+fn daemon_settings(
+    plan: &ClusterPlan,
+    folder: &std::path::Path,
+) -> Result<Vec<DaemonSettings>, ClusterError> {
+    let mut listens = Vec::new();
+    for _ in 0..plan.daemons {
+        listens.push(ListenSettings {
+            callers: free_address()?,
+            peers: free_address()?,
+            operators: free_address()?,
+        });
+    }
+    let voters: Vec<VoterAddress> = (1..=plan.voters)
+        .zip(&listens)
+        .map(|(id, listen)| VoterAddress { id: HostId(id), peers: listen.peers })
+        .collect();
+    (1..=plan.daemons)
+        .zip(listens)
+        .map(|(id, listen)| {
+            Ok(DaemonSettings {
+                host: HostIdentity {
+                    id: HostId(id),
+                    data_centre: data_centre(&plan.deployment, id)?,
+                },
+                listen,
+                control: ControlSettings {
+                    voters: voters.clone(),
+                    data: (id <= plan.voters).then(|| folder.join(format!("h{id}"))),
+                    election_timeout: Duration::from_millis(300),
+                    heartbeat: Duration::from_millis(50),
+                    lease: Duration::from_millis(600),
+                    renewal: Duration::from_millis(150),
+                },
+                failover: FailoverSettings::default(),
+                groups: GroupSettings { homes: plan.homes },
+                sessions: SessionSettings { secret: Arc::from("a secret of the lab only") },
+                logs: LogSettings::default(),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/src/cluster/mod.rs
@@ -0,0 +1,11 @@
+//! Daemons and stand-in upstreams in one process, for demos and experiments.
+
+mod cluster_error;
+mod lab_caller;
+mod lab_cluster;
+mod operator_client;
+
+pub use cluster_error::ClusterError;
+pub use lab_caller::{CallFailure, LabCaller, SimpleAnswer};
+pub use lab_cluster::{ClusterPlan, LabCluster};
+pub use operator_client::OperatorClient;
--- /dev/null
+++ b/crates/lab/src/demo/demo_run.rs
@@ -0,0 +1,258 @@
+use std::{
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use rusqlite::types::Value;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use super::{DemoReport, demo_caller::DemoCaller};
+use crate::{
+    cluster::{CallFailure, ClusterError, ClusterPlan, LabCaller, LabCluster},
+    deployments::Deployment,
+    history::{FinalState, OperationKind, OperationResult, RecordedOperation, check_history},
+    upstreams::{Fault, LoggedStatement, StandInGroup},
+};
+
+/// Callers of each group.
+const CALLERS_PER_GROUP: u32 = 6;
+/// Time for replication and returning databases to settle before the end
+/// state is read.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// Tables that the callers use.
+const SCHEMA: [&str; 4] = [
+    "CREATE TABLE ledger (session BIGINT, number BIGINT, PRIMARY KEY (session, number))",
+    "CREATE TABLE claims (item BIGINT PRIMARY KEY, holder BIGINT)",
+    "CREATE TABLE counter (value BIGINT)",
+    "INSERT INTO counter (value) VALUES (0)",
+];
+
+/// What the demo runs.
+#[derive(Debug, Clone)]
+pub struct DemoPlan {
+    /// Sizes and delays of the upstreams.
+    pub deployment: Deployment,
+    /// Seed of callers and stand-ins.
+    pub seed: u64,
+    /// Length of the run.
+    pub length: Duration,
+    /// Print progress to standard error.
+    pub verbose: bool,
+}
+
+type SharedHistory = Arc<Mutex<Vec<RecordedOperation>>>;
+
+struct DemoRun {
+    plan: DemoPlan,
+    cluster: LabCluster,
+    history: SharedHistory,
+    started_at: Instant,
+}
+
+/// Runs the demo: callers roam between three daemons, one primary fails and
+/// comes back, one daemon drains and comes back.
+///
+/// # Errors
+/// `ClusterError` if the cluster does not start.
+pub async fn run_demo(plan: DemoPlan) -> Result<DemoReport, ClusterError> {
+    let cluster_plan = ClusterPlan {
+        deployment: plan.deployment.clone(),
+        daemons: 3,
+        voters: 3,
+        homes: 3,
+        seed: plan.seed,
+    };
+    let say = |text: String| {
+        if plan.verbose {
+            eprintln!("{text}");
+        }
+    };
+    say(format!(
+        "Starting 3 daemons and {} groups of {} databases ...",
+        plan.deployment.instances, plan.deployment.databases
+    ));
+    let cluster = LabCluster::start(cluster_plan).await?;
+    for group in 0..cluster.groups.len() {
+        create_schema(&cluster, group).await?;
+    }
+    let mut run =
+        DemoRun { plan, cluster, history: SharedHistory::default(), started_at: Instant::now() };
+    run.perform().await
+}
+
+async fn create_schema(cluster: &LabCluster, group: usize) -> Result<(), ClusterError> {
+    let name = cluster.group_name(group);
+    let failed = |failure: CallFailure| ClusterError::Request { text: failure.text };
+    let daemon = cluster.caller_addresses()[0];
+    let caller = LabCaller::connect(daemon, &name, &[]).await.map_err(failed)?;
+    for sql in SCHEMA {
+        caller.simple(sql).await.map_err(failed)?;
+    }
+    Ok(())
+}
+
+impl DemoRun {
+    fn say(&self, text: &str) {
+        if self.plan.verbose {
+            eprintln!("{:6.1} s  {text}", self.started_at.elapsed().as_secs_f64());
+        }
+    }
+
+    async fn at(&self, share: f64) {
+        sleep_until(self.started_at + self.plan.length.mul_f64(share)).await;
+    }
+
+    async fn perform(&mut self) -> Result<DemoReport, ClusterError> {
+        let cancel = CancellationToken::new();
+        let callers = self.start_callers(&cancel);
+        self.say(&format!("{} callers claim {}s.", callers.len(), self.plan.deployment.claim_word));
+
+        self.at(0.25).await;
+        let group = self.cluster.groups[0].clone();
+        let failed = group.primary();
+        let failed_at = self.started_at.elapsed();
+        if let Some(primary) = &failed {
+            self.say(&format!("The primary {} fails.", primary.settings.database));
+            primary.faults.set(Fault::Stopped);
+        }
+        self.at(0.5).await;
+        if let Some(primary) = &failed {
+            self.say(&format!("{} comes back.", primary.settings.database));
+            primary.faults.set(Fault::None);
+        }
+        self.at(0.6).await;
+        self.say("Daemon h3 drains.");
+        let drained_from = self.started_at.elapsed();
+        self.cluster.shut_down(2).await;
+        let drained_until = self.started_at.elapsed();
+        self.say("Daemon h3 has stopped.");
+        self.at(0.85).await;
+        self.cluster.restart(2).await?;
+        self.say("Daemon h3 is back.");
+
+        self.at(1.0).await;
+        cancel.cancel();
+        for caller in callers {
+            let _ = caller.await;
+        }
+        self.cluster.wait_until_serving().await?;
+        sleep(SETTLE_TIME).await;
+        self.report(failed_at, drained_from, drained_until)
+    }
+
+    fn start_callers(&self, cancel: &CancellationToken) -> Vec<tokio::task::JoinHandle<()>> {
+        let groups = self.cluster.groups.len() as u32;
+        (0..groups * CALLERS_PER_GROUP)
+            .map(|session| {
+                let group = (session % groups) as usize;
+                let caller = DemoCaller {
+                    session,
+                    group,
+                    group_name: self.cluster.group_name(group),
+                    daemons: self.cluster.caller_addresses(),
+                    history: self.history.clone(),
+                    started_at: self.started_at,
+                    cancel: cancel.clone(),
+                    seed: self.plan.seed * 1_000 + u64::from(session),
+                };
+                tokio::spawn(caller.run())
+            })
+            .collect()
+    }
+
+    fn report(
+        &self,
+        failed_at: Duration,
+        drained_from: Duration,
+        drained_until: Duration,
+    ) -> Result<DemoReport, ClusterError> {
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let finals: Result<Vec<FinalState>, ClusterError> =
+            self.cluster.groups.iter().map(|group| final_state(group)).collect();
+        let gap = failover_gap(&history, failed_at);
+        let mut not_run = Vec::new();
+        if gap.is_none() {
+            not_run
+                .push("no write of the failed group was acknowledged after the fault".to_owned());
+        }
+        let during = |operation: &&RecordedOperation| {
+            operation.sent_at >= drained_from && operation.answered_at <= drained_until
+        };
+        let open = history.iter().filter(during).filter(|operation| {
+            matches!(operation.result, OperationResult::Unknown | OperationResult::DidNotRun)
+        });
+        Ok(DemoReport {
+            replica_read_share: replica_share(&self.cluster.groups),
+            failover_gap_ms: gap.map(|gap| gap.as_secs_f64() * 1_000.0),
+            p50_ms: percentile(&history, 0.5),
+            p99_ms: percentile(&history, 0.99),
+            drain_failures: Some(open.count() as u64),
+            connections_refused: refused_connections(&self.cluster.groups),
+            not_run,
+            history: check_history(&history, &finals?),
+        })
+    }
+}
+
+/// From the fault to the answer of the first write that was sent after it.
+fn failover_gap(history: &[RecordedOperation], failed_at: Duration) -> Option<Duration> {
+    history
+        .iter()
+        .filter(|operation| operation.group == 0 && operation.sent_at >= failed_at)
+        .filter(|operation| !matches!(operation.kind, OperationKind::Read { .. }))
+        .filter(|operation| {
+            matches!(operation.result, OperationResult::Written | OperationResult::Claimed(_))
+        })
+        .map(|operation| operation.answered_at - failed_at)
+        .min()
+}
+
+fn percentile(history: &[RecordedOperation], share: f64) -> Option<f64> {
+    let mut times: Vec<Duration> =
+        history.iter().map(|operation| operation.answered_at - operation.sent_at).collect();
+    times.sort_unstable();
+    let last = times.len().checked_sub(1)?;
+    let place = (last as f64 * share).round() as usize;
+    Some(times[place].as_secs_f64() * 1_000.0)
+}
+
+fn replica_share(groups: &[Arc<StandInGroup>]) -> Option<f64> {
+    let databases = || groups.iter().flat_map(|group| &group.databases);
+    let replica: u64 = databases().map(|d| d.counters.replica_reads.load(Ordering::Relaxed)).sum();
+    let primary: u64 = databases().map(|d| d.counters.primary_reads.load(Ordering::Relaxed)).sum();
+    (replica + primary > 0).then(|| replica as f64 / (replica + primary) as f64)
+}
+
+fn refused_connections(groups: &[Arc<StandInGroup>]) -> u64 {
+    let databases = groups.iter().flat_map(|group| &group.databases);
+    databases.map(|database| database.counters.refused.load(Ordering::Relaxed)).sum()
+}
+
+/// What a group holds at its primary.
+fn final_state(group: &StandInGroup) -> Result<FinalState, ClusterError> {
+    let primary = group
+        .primary()
+        .ok_or_else(|| ClusterError::Late { what: "a primary at the end".to_owned() })?;
+    let core = primary.core();
+    let rows = |sql: &str| {
+        let statement = LoggedStatement { sql: sql.to_owned(), parameters: Vec::new() };
+        let rows = core.committed().run(&statement);
+        rows.map(|rows| rows.rows).map_err(|source| ClusterError::Upstream { source })
+    };
+    let number = |value: &Value| match value {
+        Value::Integer(number) => *number as u64,
+        _ => 0,
+    };
+    let mut state = FinalState::default();
+    for row in rows("SELECT session, number FROM ledger")? {
+        state.entries.insert((number(&row[0]) as u32, number(&row[1])));
+    }
+    for row in rows("SELECT item, holder FROM claims")? {
+        state.claims.insert(number(&row[0]), number(&row[1]) as u32);
+    }
+    for row in rows("SELECT value FROM counter")? {
+        state.counter = number(&row[0]);
+    }
+    Ok(state)
+}
--- /dev/null
+++ b/crates/lab/src/upstreams/mod.rs
@@ -0,0 +1,18 @@
+//! A stand-in for a group of databases that replicates asynchronously.
+
+mod announcer;
+mod database_core;
+mod fault_switch;
+mod pg_session;
+mod pg_values;
+mod sql_engine;
+mod sql_text;
+mod stand_in_database;
+mod stand_in_group;
+
+pub use announcer::announce_forever;
+pub use database_core::{DatabaseCore, LogRecord};
+pub use fault_switch::{Fault, FaultSwitch};
+pub use sql_engine::{EngineError, EngineRows, LoggedStatement, SqlEngine};
+pub use stand_in_database::{DatabaseCounters, StandInDatabase, StandInSettings};
+pub use stand_in_group::StandInGroup;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,6 @@
+//! Border forms of the messages between processes: CBOR between hosts, JSON
+//! towards operators and upstreams, and the text form of database reports.
+
+pub mod operators;
+pub mod peers;
+pub mod reports;
