--- /dev/null
+++ b/crates/cli/src/commands/pages.rs
@@ -0,0 +1,109 @@
+use hawthornstack_decisions::control::AuditRecord;
+use hawthornstack_wire::operators::{PlanResponse, StatusResponse};
+
+use crate::console::TextTable;
+
+/// A plan to read.
+pub(super) fn plan(plan: &PlanResponse) -> String {
+    if plan.changes.is_empty() {
+        return format!("Nothing to change; version {} is as declared.\n", plan.base_version);
+    }
+    let mut text = format!("Plan {} on version {}:\n", plan.id, plan.base_version);
+    for step in &plan.steps {
+        text.push_str(&format!("  - {step}\n"));
+    }
+    text.push_str(&format!("Confirm with: hawthornstack confirm {}\n", plan.id));
+    text
+}
+
+/// The state of the system in short.
+pub(super) fn status(status: &StatusResponse) -> String {
+    let leader = status.leader.map_or("unknown".to_owned(), |leader| leader.to_string());
+    let lease = if status.has_lease { "may serve" } else { "has no lease" };
+    let mut text = format!(
+        "Host {} {lease}. Leader {leader}. Version {}, {} entries applied.\n",
+        status.host, status.version, status.applied
+    );
+    let mut table = TextTable::new(&["GROUP", "PHASE", "TERM", "PRIMARY", "HOMES", "WAITING"]);
+    for group in &status.groups {
+        let homes: Vec<String> = group.homes.iter().map(ToString::to_string).collect();
+        table.push(vec![
+            group.group.to_string(),
+            group.phase.clone(),
+            group.term.to_string(),
+            group.primary.to_string(),
+            homes.join(","),
+            group.waiting.to_string(),
+        ]);
+    }
+    text.push_str(&table.render());
+    text
+}
+
+/// Declared services.
+pub(super) fn services(status: &StatusResponse) -> String {
+    let mut table = TextTable::new(&["SERVICE", "INSTANCES", "DATABASES", "MAX WAITING"]);
+    for (name, service) in &status.services {
+        table.push(vec![
+            name.to_string(),
+            service.instances.to_string(),
+            service.databases.to_string(),
+            service.max_waiting.to_string(),
+        ]);
+    }
+    table.render()
+}
+
+/// Databases.
+pub(super) fn upstreams(status: &StatusResponse) -> String {
+    let heading =
+        ["DATABASE", "GROUP", "ADDRESS", "DATA CENTRE", "STANDING", "ROLE", "POSITION", "IN USE"];
+    let mut table = TextTable::new(&heading);
+    for group in &status.groups {
+        for member in &group.members {
+            table.push(vec![
+                member.database.to_string(),
+                group.group.to_string(),
+                member.address.to_string(),
+                member.data_centre.to_string(),
+                member.standing.clone(),
+                member.role.clone(),
+                member.position.clone(),
+                member.in_use.to_string(),
+            ]);
+        }
+    }
+    table.render()
+}
+
+/// Hosts of the system.
+pub(super) fn hosts(status: &StatusResponse) -> String {
+    let mut table = TextTable::new(&["HOST", "PEER ADDRESS", "DATA CENTRE", "STATE"]);
+    for host in &status.hosts {
+        let state = if host.draining { "draining" } else { "serving" };
+        table.push(vec![
+            host.host.to_string(),
+            host.peer_address.to_string(),
+            host.data_centre.to_string(),
+            state.to_owned(),
+        ]);
+    }
+    table.render()
+}
+
+/// The audit trail.
+pub(super) fn audit(records: &[AuditRecord]) -> String {
+    let mut table = TextTable::new(&["#", "UNIX MS", "OPERATOR", "PLAN", "RESULT", "CHANGES"]);
+    for record in records {
+        let changes: Vec<String> = record.changes.iter().map(ToString::to_string).collect();
+        table.push(vec![
+            record.sequence.to_string(),
+            record.at_unix_ms.to_string(),
+            record.operator.to_string(),
+            record.plan.to_string(),
+            record.result.number().to_string(),
+            changes.join("; "),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/cli/src/console/mod.rs
@@ -0,0 +1,10 @@
+//! Talking to daemons and printing for people.
+
+mod console_error;
+mod daemon_client;
+mod text_table;
+
+pub use console_error::ConsoleError;
+pub(crate) use console_error::{FileSnafu, RefusedSnafu, UnknownCodeSnafu};
+pub use daemon_client::DaemonClient;
+pub use text_table::TextTable;
--- a/crates/daemon/src/host/host_message.rs
+++ b/crates/daemon/src/host/host_message.rs
@@ -1,9 +1,9 @@
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use hawthornstack_decisions::{
-    control::{AuditRecord, ControlAnswer, Intent, Plan},
-    host::{Conclusion, HostEvent},
-    identity::{DatabaseName, HostId},
+    control::AuditRecord,
+    host::{Conclusion, HostEvent, OperatorAnswer, OperatorQuestion},
+    identity::DatabaseName,
     requests::RequestArrival,
 };
 use hawthornstack_wire::operators::StatusResponse;
@@ -25,35 +25,6 @@
     Conclude(Conclusion),
 }
 
-/// What an operator asks.
-#[derive(Debug, Clone)]
-pub enum OperatorQuestion {
-    /// Make a plan.
-    Plan(Intent),
-    /// Confirm a plan.
-    Confirm {
-        /// Identity of the request.
-        request: Arc<str>,
-        /// The plan.
-        plan: Arc<str>,
-        /// Who confirms.
-        operator: Arc<str>,
-        /// Wall-clock time, in milliseconds since 1970.
-        at_unix_ms: u64,
-    },
-}
-
-/// What an operator hears.
-#[derive(Debug, Clone)]
-pub enum OperatorAnswer {
-    /// A plan, or what is wrong with the intent.
-    Plan(Result<Plan, String>),
-    /// How a confirmation ended.
-    Confirm(ControlAnswer),
-    /// Another host leads.
-    NotCurrent(Option<HostId>),
-}
-
 /// Requests to the host service.
 #[derive(Debug)]
 pub enum HostMessage {
--- a/crates/daemon/src/host/host_service.rs
+++ b/crates/daemon/src/host/host_service.rs
@@ -2,15 +2,13 @@
 
 use hawthornstack_decisions::{
     agreement::JournalRecord,
-    host::{HostEffect, HostEvent, HostSettings, HostState},
+    host::{HostEffect, HostEvent, HostSettings, HostState, OperatorAnswer, OperatorQuestion},
     identity::{HostId, RequestId},
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 
-use super::{
-    HostMessage, OperatorAnswer, OperatorQuestion, RequestSignal, status_page::status_page,
-};
+use super::{HostMessage, RequestSignal, status_page::status_page};
 use crate::{
     journal::JournalMessage,
     kernel::{HostClock, ServiceName},
@@ -134,13 +132,7 @@
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         self.questions.insert(ticket, answer);
-        let event = match question {
-            OperatorQuestion::Plan(intent) => HostEvent::PlanAsked { ticket, intent },
-            OperatorQuestion::Confirm { request, plan, operator, at_unix_ms } => {
-                HostEvent::ConfirmAsked { ticket, request, plan, operator, at_unix_ms }
-            }
-        };
-        self.step(event);
+        self.step(HostEvent::Asked { ticket, question });
     }
 
     fn answer(&mut self, ticket: u64, answer: OperatorAnswer) {
@@ -190,15 +182,7 @@
             HostEffect::Conclude(request, conclusion) => {
                 self.signal(request, RequestSignal::Conclude(conclusion));
             }
-            HostEffect::PlanAnswer { ticket, answer } => {
-                self.answer(ticket, OperatorAnswer::Plan(answer));
-            }
-            HostEffect::ConfirmAnswer { ticket, answer } => {
-                self.answer(ticket, OperatorAnswer::Confirm(answer));
-            }
-            HostEffect::NotCurrent { ticket, leader } => {
-                self.answer(ticket, OperatorAnswer::NotCurrent(leader));
-            }
+            HostEffect::Answer { ticket, answer } => self.answer(ticket, answer),
             HostEffect::AnnouncementRefused { database, result } => {
                 let number = result.number();
                 let text = result.text();
--- a/crates/daemon/src/operators/operator_routes.rs
+++ b/crates/daemon/src/operators/operator_routes.rs
@@ -8,7 +8,10 @@
     routing::{get, post},
 };
 use hawthornstack_decisions::{
-    control::ControlAnswer, directory::Announcement, host::HostEvent, identity::HostId,
+    control::ControlAnswer,
+    directory::Announcement,
+    host::{HostEvent, OperatorAnswer, OperatorQuestion},
+    identity::HostId,
     outcomes::ResultCode,
 };
 use hawthornstack_wire::operators::{
@@ -19,7 +22,7 @@
 use tokio::{sync::oneshot, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::host::{HostMessage, OperatorAnswer, OperatorQuestion};
+use crate::host::HostMessage;
 
 /// Time for the host to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
--- a/crates/daemon/src/upstreams/database_monitor.rs
+++ b/crates/daemon/src/upstreams/database_monitor.rs
@@ -59,15 +59,16 @@
 
     async fn follow(&self) -> Result<(), UpstreamError> {
         let mut connection = UpstreamConnection::open(self.address, CONTROL_DATABASE).await?;
-        let mut known = LogPosition::default();
+        let mut term = 0;
+        let mut position = LogPosition::default();
         loop {
             let sent_at = self.clock.now();
-            let statement = report_statement(known, REPORT_WAIT.as_millis() as u64);
+            let statement = report_statement(term, position, REPORT_WAIT.as_millis() as u64);
             let status = match timeout(REPORT_TIMEOUT, ask(&mut connection, &statement)).await {
                 Ok(status) => status?,
                 Err(_) => return Err(UpstreamError::Late),
             };
-            known = status.position;
+            (term, position) = (status.term, status.position);
             let database = self.database.clone();
             let event = HostEvent::Reported { database, sent_at, status };
             let _ = self.host.send_message(HostMessage::Event(event));
--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -136,10 +136,12 @@
     fn lead(&mut self, now: Moment) {
         self.change_hard(|hard| hard.eligible = true);
         let first_index = self.log.last_index() + 1;
+        // Configured voters that were taken out are learners: they are caught
+        // up and taken in again, also by a leader that did not take them out.
         let followers: BTreeMap<HostId, FollowerProgress> = self
             .log
             .voters()
-            .iter()
+            .union(&self.settings.first_voters)
             .filter(|voter| **voter != self.me)
             .map(|voter| (*voter, FollowerProgress::new(first_index, now)))
             .collect();
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -194,8 +194,13 @@
         if reply.accepted {
             follower.match_index = follower.match_index.max(reply.match_index);
             follower.next_index = follower.next_index.max(reply.match_index + 1);
+        } else if reply.match_index < follower.match_index {
+            // Late, or from a disk that lost what it had synced: the next
+            // heartbeat tries again, an answer at once would feed itself.
+            follower.next_index = follower.match_index + 1;
+            return;
         } else {
-            follower.next_index = (reply.match_index + 1).max(follower.match_index + 1);
+            follower.next_index = reply.match_index + 1;
         }
         let behind = follower.next_index <= last_index;
         if behind {
--- a/crates/decisions/src/failover/change_of_primary.rs
+++ b/crates/decisions/src/failover/change_of_primary.rs
@@ -38,16 +38,21 @@
     pub next_term: u64,
     started_at: Moment,
     fenced_homes: BTreeSet<HostId>,
+    /// When each home's lease runs out that was granted before the change. A
+    /// later lease counts only for a home that has applied the change.
+    lease_ends: BTreeMap<HostId, Moment>,
     statuses: BTreeMap<DatabaseName, DatabaseStatus>,
     ordered_at: BTreeMap<DatabaseName, Moment>,
     proposed: bool,
 }
 
 impl ChangeOfPrimary {
-    /// Notes for a change to `next_term` that this leader begins to drive.
-    pub fn new(now: Moment, next_term: u64) -> Self {
+    /// Notes for the change in `record` that this leader begins to drive.
+    pub fn new(now: Moment, record: &GroupRecord, leases: &LeaseTable) -> Self {
+        let lease_ends = record.homes.iter().map(|home| (*home, leases.end_of(*home)));
         Self {
-            next_term,
+            lease_ends: lease_ends.collect(),
+            next_term: record.highest_term(),
             started_at: now,
             fenced_homes: BTreeSet::new(),
             statuses: BTreeMap::new(),
@@ -76,30 +81,16 @@
     }
 
     /// What to do now, given the committed record.
-    pub fn next_steps(
-        &mut self,
-        now: Moment,
-        record: &GroupRecord,
-        leases: &LeaseTable,
-    ) -> Vec<ChangeStep> {
+    pub fn next_steps(&mut self, now: Moment, record: &GroupRecord) -> Vec<ChangeStep> {
         match &record.phase {
             GroupPhase::Steady => Vec::new(),
-            GroupPhase::Fencing { planned, .. } => self.fence(now, record, leases, *planned),
+            GroupPhase::Fencing { planned, .. } => self.fence(now, record, *planned),
             GroupPhase::Promoting { chosen, .. } => self.promote(now, record, chosen),
         }
     }
 
-    fn fence(
-        &mut self,
-        now: Moment,
-        record: &GroupRecord,
-        leases: &LeaseTable,
-        planned: bool,
-    ) -> Vec<ChangeStep> {
-        let homes_done = record
-            .homes
-            .iter()
-            .all(|home| self.fenced_homes.contains(home) || !leases.may_hold(now, *home));
+    fn fence(&mut self, now: Moment, record: &GroupRecord, planned: bool) -> Vec<ChangeStep> {
+        let homes_done = record.homes.iter().all(|home| self.is_home_done(now, *home));
         if planned && !self.has_successor(now, record) {
             return if homes_done { self.catch_up(now, record) } else { Vec::new() };
         }
@@ -161,6 +152,12 @@
                 .any(|status| status.covers(last.position))
     }
 
+    /// True if the home confirmed the fence, or cannot act on an old lease.
+    fn is_home_done(&self, now: Moment, home: HostId) -> bool {
+        let lease_end = self.lease_ends.get(&home).copied().unwrap_or(Moment::ZERO);
+        self.fenced_homes.contains(&home) || now >= lease_end
+    }
+
     fn is_fenced(&self, database: &DatabaseName) -> bool {
         self.statuses.get(database).is_some_and(|status| status.fenced_below >= self.next_term)
     }
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -1,13 +1,10 @@
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
-use super::{
-    GroupView, HostEffect, HostState, PeerMessage,
-    host_state::{PendingConfirmation, RequestDeadline},
-};
+use super::{GroupView, HostEffect, HostState, PeerMessage, host_state::RequestDeadline};
 use crate::{
     agreement::{AgreementEffect, AgreementEvent, EntryPayload},
     clock::Moment,
-    control::{ControlCommand, ControlState, Intent},
+    control::{ControlCommand, ControlState},
     directory::DatabaseView,
     identity::{DatabaseName, GroupName, HostId, RequestId},
     outcomes::ResultCode,
@@ -24,8 +21,6 @@
 const SUBSCRIPTION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which a subscriber gets updates after its last question.
 const SUBSCRIBER_LIFETIME: Duration = Duration::from_secs(5);
-/// Time that an operator's confirmation waits to be committed.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A host that gets updates from this voter.
 #[derive(Debug)]
@@ -312,66 +307,6 @@
         }
     }
 
-    // Operators.
-
-    pub(super) fn plan_asked(&mut self, now: Moment, ticket: u64, intent: &Intent) {
-        if !self.is_current_leader(now) {
-            let leader = self.leader;
-            return self.effects.push(HostEffect::NotCurrent { ticket, leader });
-        }
-        let answer = self.control.make_plan(intent);
-        if let Ok(plan) = &answer
-            && !self.control.plans.contains_key(&plan.id)
-        {
-            self.propose(now, ControlCommand::PlanMade(plan.clone()));
-        }
-        self.effects.push(HostEffect::PlanAnswer { ticket, answer });
-    }
-
-    pub(super) fn confirm_asked(
-        &mut self,
-        now: Moment,
-        ticket: u64,
-        request: Arc<str>,
-        command: ControlCommand,
-    ) {
-        if !self.is_current_leader(now) {
-            let leader = self.leader;
-            return self.effects.push(HostEffect::NotCurrent { ticket, leader });
-        }
-        if let Some(answer) = self.control.answers.get(&request).cloned() {
-            return self.effects.push(HostEffect::ConfirmAnswer { ticket, answer });
-        }
-        let until = now + CONFIRMATION_TIMEOUT;
-        self.confirmations.push(PendingConfirmation { ticket, request, until });
-        self.propose(now, command);
-    }
-
-    fn answer_confirmations(&mut self, request: &Arc<str>) {
-        let Some(answer) = self.control.answers.get(request).cloned() else {
-            return;
-        };
-        let (done, waiting) = std::mem::take(&mut self.confirmations)
-            .into_iter()
-            .partition(|pending| pending.request == *request);
-        self.confirmations = waiting;
-        for pending in done {
-            let answer = answer.clone();
-            self.effects.push(HostEffect::ConfirmAnswer { ticket: pending.ticket, answer });
-        }
-    }
-
-    pub(super) fn expire_confirmations(&mut self, now: Moment) {
-        let (late, waiting) = std::mem::take(&mut self.confirmations)
-            .into_iter()
-            .partition(|pending| pending.until <= now);
-        self.confirmations = waiting;
-        for pending in late {
-            let leader = self.leader;
-            self.effects.push(HostEffect::NotCurrent { ticket: pending.ticket, leader });
-        }
-    }
-
     pub(super) fn set_deadline(&mut self, request: RequestId, at: Moment) {
         self.deadlines.insert(RequestDeadline { at, request });
     }
--- a/crates/decisions/src/host/host_effect.rs
+++ b/crates/decisions/src/host/host_effect.rs
@@ -1,9 +1,8 @@
 use std::net::SocketAddr;
 
-use super::PeerMessage;
+use super::{OperatorAnswer, PeerMessage};
 use crate::{
     agreement::JournalRecord,
-    control::{ControlAnswer, Plan},
     failover::DatabaseOrder,
     identity::{DatabaseName, HostId, RequestId},
     outcomes::ResultCode,
@@ -62,26 +61,12 @@
     },
     /// The request is over.
     Conclude(RequestId, Conclusion),
-    /// Answer to a question for a plan.
-    PlanAnswer {
-        /// Number of the question.
-        ticket: u64,
-        /// The plan, or what is wrong with the intent.
-        answer: Result<Plan, String>,
-    },
-    /// Answer to a confirmation.
-    ConfirmAnswer {
+    /// Answer to an operator's question.
+    Answer {
         /// Number of the question.
         ticket: u64,
         /// The answer.
-        answer: ControlAnswer,
-    },
-    /// This host cannot answer an operator; ask the leader.
-    NotCurrent {
-        /// Number of the question.
-        ticket: u64,
-        /// The leader, if known.
-        leader: Option<HostId>,
+        answer: OperatorAnswer,
     },
     /// An announcement was refused.
     AnnouncementRefused {
--- a/crates/decisions/src/host/host_event.rs
+++ b/crates/decisions/src/host/host_event.rs
@@ -1,9 +1,6 @@
-use std::sync::Arc;
-
-use super::PeerMessage;
+use super::{OperatorQuestion, PeerMessage};
 use crate::{
     clock::Moment,
-    control::Intent,
     directory::{Announcement, DatabaseStatus},
     identity::{DatabaseName, HostId, RequestId},
     positions::LogPosition,
@@ -60,24 +57,11 @@
     Executed(RequestId, ExecutionReport),
     /// The caller of a request is gone.
     Abandoned(RequestId),
-    /// An operator asks for a plan; `ticket` numbers the question here.
-    PlanAsked {
-        /// Number of the question.
-        ticket: u64,
-        /// What the operator wants.
-        intent: Intent,
-    },
-    /// An operator confirms a plan.
-    ConfirmAsked {
-        /// Number of the question.
+    /// An operator asks.
+    Asked {
+        /// Number of the question on this host.
         ticket: u64,
-        /// Identity of the operator's request.
-        request: Arc<str>,
-        /// The plan.
-        plan: Arc<str>,
-        /// Who confirms.
-        operator: Arc<str>,
-        /// Wall-clock time, in milliseconds since 1970.
-        at_unix_ms: u64,
+        /// The question.
+        question: OperatorQuestion,
     },
 }
--- a/crates/decisions/src/host/host_state.rs
+++ b/crates/decisions/src/host/host_state.rs
@@ -2,12 +2,13 @@
 
 use super::{
     GroupView, HostEffect, HostEvent, HostSettings, PeerMessage, control_flow::Subscriber,
-    leader_duty::LeaderDuty,
+    leader_duty::LeaderDuty, operator_flow::PendingQuestion,
 };
 use crate::{
     agreement::{AgreementEvent, AgreementSettings, AgreementState, JournalRecord},
     clock::Moment,
-    control::{ControlCommand, ControlState},
+    control::ControlCommand,
+    control::ControlState,
     identity::{DatabaseName, GroupName, HostId, RequestId},
     leases::HeldLease,
     requests::RequestRecord,
@@ -34,7 +35,7 @@
     pub(super) subscription: Subscription,
     pub(super) subscribers: BTreeMap<HostId, Subscriber>,
     pub(super) recent: VecDeque<ControlCommand>,
-    pub(super) confirmations: Vec<PendingConfirmation>,
+    pub(super) questions: Vec<PendingQuestion>,
     pub(super) effects: Vec<HostEffect>,
 }
 
@@ -53,14 +54,6 @@
     pub(super) heard_at: Moment,
 }
 
-/// An operator's confirmation that waits to be committed.
-#[derive(Debug)]
-pub(super) struct PendingConfirmation {
-    pub(super) ticket: u64,
-    pub(super) request: std::sync::Arc<str>,
-    pub(super) until: Moment,
-}
-
 impl HostState {
     /// Starts a host with what its journal holds; hosts that do not vote have
     /// an empty journal.
@@ -100,7 +93,7 @@
             subscription: Subscription { heard_at: now, ..Subscription::default() },
             subscribers: BTreeMap::new(),
             recent: VecDeque::new(),
-            confirmations: Vec::new(),
+            questions: Vec::new(),
             effects: Vec::new(),
         };
         host.refresh_groups(now);
@@ -126,16 +119,7 @@
             HostEvent::Arrived(arrival) => self.arrived(now, arrival),
             HostEvent::Executed(request, report) => self.executed(now, request, report),
             HostEvent::Abandoned(request) => self.abandoned(now, request),
-            HostEvent::PlanAsked { ticket, intent } => self.plan_asked(now, ticket, &intent),
-            HostEvent::ConfirmAsked { ticket, request, plan, operator, at_unix_ms } => {
-                let command = ControlCommand::PlanConfirmed {
-                    request: request.clone(),
-                    plan,
-                    operator,
-                    at_unix_ms,
-                };
-                self.confirm_asked(now, ticket, request, command);
-            }
+            HostEvent::Asked { ticket, question } => self.asked(now, ticket, question),
         }
         std::mem::take(&mut self.effects)
     }
@@ -182,7 +166,7 @@
         self.lead(now);
         self.tend_groups(now);
         self.expire_requests(now);
-        self.expire_confirmations(now);
+        self.expire_questions(now);
     }
 
     fn receive(&mut self, now: Moment, from: HostId, message: PeerMessage) {
@@ -212,6 +196,12 @@
                 self.mark_received(from, request, stored, hosts_version);
             }
             PeerMessage::MarkStored { request } => self.mark_stored(now, request),
+            PeerMessage::OperatorAsk { ticket, question } => {
+                self.asked_by_peer(now, from, ticket, question);
+            }
+            PeerMessage::OperatorReply { ticket, answer } => {
+                self.answered_by_peer(ticket, answer);
+            }
         }
     }
 
--- a/crates/decisions/src/host/leader_duty.rs
+++ b/crates/decisions/src/host/leader_duty.rs
@@ -147,15 +147,8 @@
         let Some(duty) = &mut self.duty else {
             return;
         };
-        let next_term = record.highest_term();
-        let change = duty
-            .changes
-            .entry(record.name.clone())
-            .or_insert_with(|| ChangeOfPrimary::new(now, next_term));
-        if change.next_term != next_term {
-            *change = ChangeOfPrimary::new(now, next_term);
-        }
-        for step in change.next_steps(now, record, &duty.leases) {
+        let change = duty.change(now, record);
+        for step in change.next_steps(now, record) {
             match step {
                 ChangeStep::Order(database, order) => self.order(record, database, order),
                 ChangeStep::Propose(command) => {
@@ -210,12 +203,7 @@
         let Some(duty) = &mut self.duty else {
             return;
         };
-        let next_term = record.highest_term();
-        let change = duty
-            .changes
-            .entry(group.clone())
-            .or_insert_with(|| ChangeOfPrimary::new(now, next_term));
-        change.record_fenced(from, term);
+        duty.change(now, &record).record_fenced(from, term);
         if record.phase != GroupPhase::Steady && self.is_current_leader(now) {
             self.drive_change(now, &record);
         }
@@ -228,7 +216,9 @@
         };
         match command {
             ControlCommand::TermEnded { group, .. } => {
-                duty.changes.remove(group);
+                if let Some(record) = self.control.groups.get(group) {
+                    duty.change(now, record);
+                }
             }
             ControlCommand::PrimaryChosen { group, .. } => {
                 if let Some(change) = duty.changes.get_mut(group) {
@@ -461,6 +451,18 @@
     }
 }
 
+impl LeaderDuty {
+    /// The notes on a group's change of primary, new ones for a new term.
+    fn change(&mut self, now: Moment, record: &GroupRecord) -> &mut ChangeOfPrimary {
+        let fresh = || ChangeOfPrimary::new(now, record, &self.leases);
+        let change = self.changes.entry(record.name.clone()).or_insert_with(fresh);
+        if change.next_term != record.highest_term() {
+            *change = ChangeOfPrimary::new(now, record, &self.leases);
+        }
+        change
+    }
+}
+
 impl GroupRecord {
     /// True if the primary is draining and another member could take over.
     fn wants_other_primary(&self) -> bool {
--- a/crates/decisions/src/host/peer_message.rs
+++ b/crates/decisions/src/host/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{OperatorAnswer, OperatorQuestion};
 use crate::{
     agreement::AgreementMessage,
     clock::Moment,
@@ -123,6 +124,20 @@
         /// Version of the set of hosts by which the keeper was chosen.
         hosts_version: u64,
     },
+    /// To control's leader: an operator of the sender asks.
+    OperatorAsk {
+        /// Number of the question on the sender.
+        ticket: u64,
+        /// The question.
+        question: OperatorQuestion,
+    },
+    /// From control's leader.
+    OperatorReply {
+        /// Number of the question on the receiver.
+        ticket: u64,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
     /// From a keeper: the mark is kept.
     MarkStored {
         /// The request whose answer waits for it.
@@ -140,6 +155,7 @@
             Self::Announced(_) => "announcement",
             Self::SuspectPrimary { .. } | Self::TermFenced { .. } => "failover",
             Self::MemberReport { .. } => "members",
+            Self::OperatorAsk { .. } | Self::OperatorReply { .. } => "operators",
             Self::MarkQuery(_)
             | Self::MarkAnswer(_)
             | Self::MarkStore { .. }
--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -376,20 +376,27 @@
                 false => WriteStanding::Waiting,
             };
         }
-        // The write was sent to a primary that was replaced since. Only the
-        // new primary's own report tells whether its branch holds the write.
-        let primary = self.databases.get(&self.record.primary);
-        let status = primary.and_then(|view| view.observed.as_ref()).map(|o| &o.status);
-        match status {
-            Some(status) if !self.speaks_for_term(status) => WriteStanding::Waiting,
-            Some(status) if !status.covers(position) => WriteStanding::Discarded,
-            Some(_) if self.is_held_by_majority(position) => WriteStanding::Held,
-            _ => WriteStanding::Waiting,
+        // The write was sent to a primary that was replaced since. What becomes
+        // of it is certain only once a majority holds an entry of the new term:
+        // before that a further change could still choose another branch.
+        let Some(status) = self.settled_status() else {
+            return WriteStanding::Waiting;
+        };
+        match status.covers(position) {
+            true => WriteStanding::Held,
+            false => WriteStanding::Discarded,
         }
     }
 
-    fn speaks_for_term(&self, status: &DatabaseStatus) -> bool {
-        status.term == self.record.term
+    /// The primary's report, if a majority holds an entry of its term.
+    fn settled_status(&self) -> Option<&DatabaseStatus> {
+        let view = self.databases.get(&self.record.primary)?;
+        let status = &view.observed.as_ref()?.status;
+        let starts = status.history.starts();
+        let start = starts.iter().find(|start| start.term == self.record.term)?;
+        let first = LogPosition::new(start.term, start.base_offset + 1);
+        let written = status.term == self.record.term && status.covers(first);
+        (written && self.is_held_by_majority(first)).then_some(status)
     }
 
     fn forget(&mut self, request: RequestId, phase: &RequestPhase) {
--- a/crates/decisions/src/leases/lease_table.rs
+++ b/crates/decisions/src/leases/lease_table.rs
@@ -28,16 +28,16 @@
         self.duration
     }
 
-    /// True if the host may still act on a lease.
-    pub fn may_hold(&self, now: Moment, host: HostId) -> bool {
+    /// When the last lease of the host granted so far runs out, by whichever
+    /// leader it was granted.
+    pub fn end_of(&self, host: HostId) -> Moment {
         let known = self.ends_at.get(&host).copied().unwrap_or(Moment::ZERO);
-        now < known.max(self.unknown_until)
+        known.max(self.unknown_until)
     }
 
     /// Time since the host's lease ran out, zero while it may hold.
     pub fn expired_for(&self, now: Moment, host: HostId) -> Duration {
-        let known = self.ends_at.get(&host).copied().unwrap_or(Moment::ZERO);
-        now.since(known.max(self.unknown_until))
+        now.since(self.end_of(host))
     }
 
     /// True if the host renewed with this leader and its lease holds.
--- a/crates/decisions/src/positions/log_position.rs
+++ b/crates/decisions/src/positions/log_position.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A place in a group's log: the term that wrote it and its offset.
+/// A place in a group's log: the term that wrote the entry there and its
+/// offset. The end of a log carries the term of its last entry, not the term
+/// that the database is in.
 ///
 /// The derived order (term first) ranks positions that share a branch; use
 /// [`BranchHistory::covers`](super::BranchHistory::covers) to learn whether a
--- /dev/null
+++ b/crates/decisions/tests/schedule/schedule_run.rs
@@ -0,0 +1,939 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use hawthornstack_decisions::{
+    agreement::JournalRecord,
+    clock::Moment,
+    control::{Declaration, HostRecord, Intent, ServiceDeclaration},
+    directory::{Announcement, DatabaseRole, DatabaseStatus},
+    failover::DatabaseOrder,
+    host::{
+        ExecutionReport, HostEffect, HostEvent, HostSettings, HostState, OperatorAnswer,
+        OperatorQuestion, PeerMessage,
+    },
+    identity::{DataCentre, DatabaseName, GroupName, HostId, RequestId, SessionId},
+    outcomes::{Outcome, ResultCode},
+    positions::{BranchHistory, BranchStart, LogPosition},
+    requests::{MarkSource, RequestArrival, RequestKind},
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    fake_database::{FakeDatabase, FakeEntry},
+    schedule_verdict::{CallerOperation, ScheduleVerdict},
+};
+
+const MILLI: u64 = 1_000;
+const TICK: u64 = 10 * MILLI;
+const REPORT_INTERVAL: u64 = 20 * MILLI;
+const FAULTS_FROM: u64 = 2_500 * MILLI;
+const FAULTS_UNTIL: u64 = 7_000 * MILLI;
+const CALLERS_UNTIL: u64 = 9_000 * MILLI;
+const END: u64 = 13_000 * MILLI;
+const SESSIONS: usize = 4;
+/// Actions after which a schedule counts as a storm that feeds itself.
+const MOST_ACTIONS: u64 = 200_000;
+const EXECUTION_TIMEOUT: u64 = 1_000 * MILLI;
+
+/// What is broken on purpose, to see that the checks notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sabotage {
+    Nothing,
+    /// Databases ignore fences, and homes are taken to have fenced at once.
+    /// Either half alone is made good by the other.
+    NoFences,
+    /// Databases claim to hold what their primary holds.
+    ClaimAhead,
+    /// Databases report one branch for all terms.
+    FlattenBranches,
+    /// A disk forgets what it was told to sync.
+    ForgetSyncs,
+}
+
+enum Action {
+    Tick(usize),
+    Deliver {
+        from: usize,
+        to: usize,
+        message: PeerMessage,
+        epoch: u64,
+    },
+    Persisted {
+        host: usize,
+        number: u64,
+        records: Vec<JournalRecord>,
+        epoch: u64,
+    },
+    AskReport {
+        host: usize,
+        database: usize,
+        epoch: u64,
+        watch: u64,
+    },
+    Reported {
+        host: usize,
+        database: usize,
+        sent_at: Moment,
+        status: Option<DatabaseStatus>,
+        epoch: u64,
+        watch: u64,
+    },
+    Order {
+        host: usize,
+        database: usize,
+        order: DatabaseOrder,
+        epoch: u64,
+    },
+    Ordered {
+        host: usize,
+        database: usize,
+        status: DatabaseStatus,
+        epoch: u64,
+    },
+    Execute {
+        host: usize,
+        request: RequestId,
+        database: usize,
+        epoch: u64,
+    },
+    Executed {
+        host: usize,
+        request: RequestId,
+        report: ExecutionReport,
+        found: u64,
+        epoch: u64,
+    },
+    Replicate(usize),
+    Announce(usize),
+    NextOperation(usize),
+    Operate,
+    Fault,
+    RestartHost {
+        host: usize,
+        wiped: bool,
+    },
+    HealLinks,
+    HealDatabase(usize),
+    Unpause(usize),
+}
+
+struct FakeHost {
+    state: Option<HostState>,
+    journal: Vec<JournalRecord>,
+    epoch: u64,
+    /// Offset of its clock, so that hosts' clocks never agree.
+    skew: u64,
+    paused: bool,
+    delayed: Vec<Action>,
+    watched: BTreeMap<usize, u64>,
+    served_version: u64,
+    seen_applied: u64,
+    synced_at: u64,
+}
+
+/// One schedule: hosts, databases, callers and faults under one seed.
+pub struct ScheduleRun {
+    now: u64,
+    sequence: u64,
+    queue: BTreeMap<(u64, u64), Action>,
+    rng: ChaCha8Rng,
+    hosts: Vec<FakeHost>,
+    databases: Vec<FakeDatabase>,
+    cut: BTreeSet<(usize, usize)>,
+    /// Hosts that do not reach a database which others reach.
+    cut_paths: BTreeSet<(usize, usize)>,
+    operations: Vec<CallerOperation>,
+    running: BTreeMap<(usize, RequestId), usize>,
+    numbers: Vec<u64>,
+    next_request: u64,
+    sabotage: Sabotage,
+    leaders: BTreeMap<u64, BTreeSet<HostId>>,
+    states: BTreeMap<u64, u64>,
+    winners: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    plans: BTreeMap<u64, (Arc<str>, u64)>,
+    answers: BTreeMap<Arc<str>, (ResultCode, u64)>,
+    next_ticket: u64,
+    tickets: BTreeMap<u64, OperatorQuestion>,
+    verdict: ScheduleVerdict,
+}
+
+fn group() -> GroupName {
+    GroupName::new("shiftbook.1").unwrap()
+}
+
+fn database_name(index: usize) -> DatabaseName {
+    DatabaseName::new(&format!("db-{index}")).unwrap()
+}
+
+fn database_index(name: &DatabaseName) -> usize {
+    name.as_str()[3..].parse().unwrap()
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 5_000 + index as u16))
+}
+
+fn settings(index: usize, voters: usize, seed: u64) -> HostSettings {
+    HostSettings {
+        record: HostRecord {
+            id: HostId(index as u32),
+            peer_address: SocketAddr::from(([10, 0, 0, 2], 7_000 + index as u16)),
+            data_centre: DataCentre::new("tx-1").unwrap(),
+            draining: false,
+        },
+        voters: (0..voters as u32).map(HostId).collect(),
+        lease: Duration::from_millis(600),
+        lease_renewal: Duration::from_millis(150),
+        suspect_after: Duration::from_millis(400),
+        stall_after: Duration::from_millis(1_500),
+        homes_per_group: 3,
+        election_timeout: Duration::from_millis(300),
+        heartbeat_interval: Duration::from_millis(50),
+        seed,
+    }
+}
+
+impl ScheduleRun {
+    /// Prepares a schedule of `hosts` hosts, of which the first `voters` vote.
+    pub fn new(seed: u64, hosts: usize, voters: usize, sabotage: Sabotage) -> Self {
+        let mut run = Self {
+            now: 0,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            databases: (0..3).map(FakeDatabase::new).collect(),
+            cut: BTreeSet::new(),
+            cut_paths: BTreeSet::new(),
+            operations: Vec::new(),
+            running: BTreeMap::new(),
+            numbers: vec![0; SESSIONS],
+            next_request: 0,
+            sabotage,
+            leaders: BTreeMap::new(),
+            states: BTreeMap::new(),
+            winners: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            next_ticket: 0,
+            tickets: BTreeMap::new(),
+            verdict: ScheduleVerdict::default(),
+        };
+        for index in 0..hosts {
+            let skew = run.rng.random_range(0..1_000_000_000);
+            let state = HostState::new(
+                settings(index, voters, seed),
+                Vec::new(),
+                Moment::from_micros(skew),
+            );
+            run.hosts.push(FakeHost {
+                state: Some(state),
+                journal: Vec::new(),
+                epoch: 0,
+                skew,
+                paused: false,
+                delayed: Vec::new(),
+                watched: BTreeMap::new(),
+                served_version: 0,
+                seen_applied: 0,
+                synced_at: 0,
+            });
+            run.after(index as u64 * MILLI, Action::Tick(index));
+        }
+        for index in 0..3 {
+            run.after(5 * MILLI, Action::Replicate(index));
+            run.after(index as u64 * MILLI, Action::Announce(index));
+        }
+        for session in 0..SESSIONS {
+            run.after(1_500 * MILLI, Action::NextOperation(session));
+        }
+        run.after(800 * MILLI, Action::Operate);
+        run.after(FAULTS_FROM, Action::Fault);
+        run
+    }
+
+    /// Runs to the end and judges.
+    pub fn run(mut self) -> ScheduleVerdict {
+        while let Some(((at, _), action)) = self.queue.pop_first() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            self.perform(action);
+            if self.sequence > MOST_ACTIONS {
+                self.verdict.note(format!("storm of messages at {} ms", self.now / MILLI));
+                break;
+            }
+        }
+        self.judge();
+        self.verdict
+    }
+
+    fn after(&mut self, delay: u64, action: Action) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), action);
+    }
+
+    fn delay(&mut self) -> u64 {
+        match self.rng.random_range(0..100) {
+            0..2 => self.rng.random_range(20 * MILLI..80 * MILLI),
+            _ => self.rng.random_range(200..2_000),
+        }
+    }
+
+    fn moment(&self, host: usize) -> Moment {
+        Moment::from_micros(self.hosts[host].skew + self.now)
+    }
+
+    fn step(&mut self, host: usize, event: HostEvent) {
+        let now = self.moment(host);
+        let Some(state) = &mut self.hosts[host].state else {
+            return;
+        };
+        let effects = state.step(now, event);
+        self.observe(host);
+        for effect in effects {
+            self.carry_out(host, effect);
+        }
+    }
+
+    /// Checks what must hold after every step.
+    fn observe(&mut self, host: usize) {
+        let now = self.moment(host);
+        let fake = &mut self.hosts[host];
+        let Some(state) = &fake.state else {
+            return;
+        };
+        let control = state.control();
+        if let Some(agreement) = state.agreement()
+            && agreement.is_leader()
+        {
+            let term = agreement.term();
+            self.verdict.check_leader(&mut self.leaders, term, HostId(host as u32));
+        }
+        if state.has_lease(now) {
+            if control.version < fake.served_version {
+                self.verdict.note(format!("host {host} serves an older version again"));
+            }
+            fake.served_version = fake.served_version.max(control.version);
+        }
+        if control.applied == fake.seen_applied {
+            return;
+        }
+        fake.seen_applied = control.applied;
+        let trail = control.audit.last().map(|record| record.chain.clone());
+        let hash = hash_of(&format!("{:?}{}{trail:?}", control.groups, control.version));
+        let known = *self.states.entry(control.applied).or_insert(hash);
+        if known != hash {
+            self.verdict.note(format!("two states after entry {}", control.applied));
+        }
+    }
+
+    fn carry_out(&mut self, host: usize, effect: HostEffect) {
+        let epoch = self.hosts[host].epoch;
+        match effect {
+            HostEffect::Send(to, message) => self.send(host, to.0 as usize, message),
+            HostEffect::Persist { number, records } => {
+                // A journal syncs one batch after the other.
+                let delay = self.rng.random_range(500..4_000);
+                let synced_at = self.hosts[host].synced_at.max(self.now) + delay;
+                self.hosts[host].synced_at = synced_at;
+                let delay = synced_at - self.now;
+                self.after(delay, Action::Persisted { host, number, records, epoch });
+            }
+            HostEffect::Watch { database, .. } => {
+                let database = database_index(&database);
+                self.sequence += 1;
+                let watch = self.sequence;
+                self.hosts[host].watched.insert(database, watch);
+                self.after(1, Action::AskReport { host, database, epoch, watch });
+            }
+            HostEffect::Unwatch(database) => {
+                self.hosts[host].watched.remove(&database_index(&database));
+            }
+            HostEffect::Order { database, order, .. } => {
+                let database = database_index(&database);
+                if let (Sabotage::NoFences, DatabaseOrder::Fence { term }) = (self.sabotage, &order)
+                {
+                    self.forge_fences(host, *term, epoch);
+                }
+                let mut delay = self.delay();
+                if self.sabotage == Sabotage::NoFences
+                    && matches!(order, DatabaseOrder::Follow { .. })
+                {
+                    // A slow order keeps a replica with the old primary long
+                    // enough for the missing fence to show.
+                    delay += 200 * MILLI;
+                }
+                self.after(delay, Action::Order { host, database, order, epoch });
+            }
+            HostEffect::Dispatch { request, database, .. } => {
+                let database = database_index(&database);
+                let delay = self.delay();
+                self.after(delay, Action::Execute { host, request, database, epoch });
+            }
+            HostEffect::Conclude(request, conclusion) => {
+                self.concluded(host, request, conclusion.result);
+            }
+            HostEffect::Answer { ticket, answer } => self.answered(ticket, answer),
+            HostEffect::AnnouncementRefused { .. } | HostEffect::Note(_) => {}
+        }
+    }
+
+    fn forge_fences(&mut self, to: usize, term: u64, epoch: u64) {
+        for from in 0..self.hosts.len() {
+            let message = PeerMessage::TermFenced { group: group(), term };
+            self.after(1, Action::Deliver { from, to, message, epoch });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let epoch = self.hosts[to].epoch;
+        let copies = match self.rng.random_range(0..100) {
+            0..1 => 0,
+            1..3 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let delay = self.delay();
+            self.after(delay, Action::Deliver { from, to, message: message.clone(), epoch });
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        if let Some(host) = action.host()
+            && self.hosts[host].paused
+        {
+            return self.hosts[host].delayed.push(action);
+        }
+        if let Some((host, epoch)) = action.epoch()
+            && self.hosts[host].epoch != epoch
+        {
+            return;
+        }
+        match action {
+            Action::Tick(host) => {
+                self.step(host, HostEvent::Tick);
+                self.after(TICK, Action::Tick(host));
+            }
+            Action::Deliver { from, to, message, .. } => {
+                if !self.cut.contains(&(from, to)) {
+                    self.step(to, HostEvent::Peer(HostId(from as u32), message));
+                }
+            }
+            Action::Persisted { host, number, records, .. } => {
+                if self.sabotage != Sabotage::ForgetSyncs {
+                    self.hosts[host].journal.extend(records);
+                }
+                self.step(host, HostEvent::Persisted(number));
+            }
+            Action::AskReport { host, database, epoch, watch } => {
+                self.ask_report(host, database, epoch, watch);
+            }
+            Action::Reported { host, database, sent_at, status, epoch, watch } => {
+                let name = database_name(database);
+                match status {
+                    Some(status) => {
+                        self.step(host, HostEvent::Reported { database: name, sent_at, status });
+                    }
+                    None => self.step(host, HostEvent::ReportFailed(name)),
+                }
+                self.after(REPORT_INTERVAL, Action::AskReport { host, database, epoch, watch });
+            }
+            Action::Order { host, database, order, epoch } => {
+                self.order(host, database, &order, epoch);
+            }
+            Action::Ordered { host, database, status, .. } => {
+                let database = database_name(database);
+                self.step(host, HostEvent::OrderAnswered { database, status });
+            }
+            Action::Execute { host, request, database, epoch } => {
+                self.execute(host, request, database, epoch);
+            }
+            Action::Executed { host, request, report, found, .. } => {
+                if let Some(operation) = self.running.get(&(host, request)) {
+                    self.operations[*operation].found = found;
+                }
+                self.step(host, HostEvent::Executed(request, report));
+            }
+            Action::Replicate(database) => self.replicate(database),
+            Action::Announce(database) => self.announce(database),
+            Action::NextOperation(session) => self.next_operation(session),
+            Action::Operate => self.operate(),
+            Action::Fault => self.fault(),
+            Action::RestartHost { host, wiped } => self.restart(host, wiped),
+            Action::HealLinks => {
+                self.cut.clear();
+                self.cut_paths.clear();
+            }
+            Action::HealDatabase(database) => {
+                let database = &mut self.databases[database];
+                (database.stopped, database.cut_from_hosts, database.cut_from_group) =
+                    (false, false, false);
+            }
+            Action::Unpause(host) => {
+                self.hosts[host].paused = false;
+                for action in std::mem::take(&mut self.hosts[host].delayed) {
+                    self.perform(action);
+                }
+            }
+        }
+    }
+
+    /// A status as the database reports it, or as sabotage makes it lie.
+    fn status_of(&self, database: usize) -> DatabaseStatus {
+        let fake = &self.databases[database];
+        let mut status = fake.status();
+        match self.sabotage {
+            Sabotage::ClaimAhead => {
+                if let Some(primary) = fake.follows.map(|index| &self.databases[index]) {
+                    status.position = primary.position();
+                }
+            }
+            Sabotage::FlattenBranches => {
+                let starts = (1..=status.term).map(|term| BranchStart { term, base_offset: 0 });
+                status.history = BranchHistory::new(starts);
+            }
+            _ => {}
+        }
+        status
+    }
+
+    fn ask_report(&mut self, host: usize, database: usize, epoch: u64, watch: u64) {
+        if self.hosts[host].watched.get(&database) != Some(&watch) {
+            return;
+        }
+        let sent_at = self.moment(host);
+        let fake = &self.databases[database];
+        if fake.stopped {
+            let failed = Action::Reported { host, database, sent_at, status: None, epoch, watch };
+            return self.after(40 * MILLI, failed);
+        }
+        if !fake.answers() || self.cut_paths.contains(&(host, database)) {
+            return self.after(100 * MILLI, Action::AskReport { host, database, epoch, watch });
+        }
+        let status = Some(self.status_of(database));
+        let delay = self.delay();
+        self.after(delay, Action::Reported { host, database, sent_at, status, epoch, watch });
+    }
+
+    fn order(&mut self, host: usize, database: usize, order: &DatabaseOrder, epoch: u64) {
+        if !self.databases[database].answers() || self.cut_paths.contains(&(host, database)) {
+            return;
+        }
+        if let DatabaseOrder::Follow { term, primary } = order {
+            let index = usize::from(primary.port()) - 5_000;
+            let primary = self.databases[index].clone();
+            let fake = &mut self.databases[database];
+            let fits = primary.term == *term && primary.accepts_writes();
+            let newer = *term >= fake.term && *term >= fake.fenced_below;
+            if index != database && primary.replicates() && fits && newer {
+                fake.follow(index, &primary);
+            } else {
+                return;
+            }
+        }
+        let ignores = self.sabotage == Sabotage::NoFences;
+        if self.databases[database].obey(order, ignores).is_some() {
+            let mut status = self.status_of(database);
+            if ignores {
+                // It says that it fenced, but goes on as before.
+                if let DatabaseOrder::Fence { term } = order {
+                    status.fenced_below = *term;
+                }
+                self.databases[database].fenced_below = 0;
+            }
+            let delay = self.delay();
+            self.after(delay, Action::Ordered { host, database, status, epoch });
+        }
+    }
+
+    fn execute(&mut self, host: usize, request: RequestId, database: usize, epoch: u64) {
+        let Some(operation) = self.running.get(&(host, request)).copied() else {
+            return;
+        };
+        let CallerOperation { session, number, .. } = self.operations[operation].clone();
+        let fake = &mut self.databases[database];
+        if fake.stopped {
+            let report = ExecutionReport::NotRun;
+            let failed = Action::Executed { host, request, report, found: 0, epoch };
+            return self.after(5 * MILLI, failed);
+        }
+        if fake.cut_from_hosts || self.cut_paths.contains(&(host, database)) {
+            let report = ExecutionReport::Lost;
+            let failed = Action::Executed { host, request, report, found: 0, epoch };
+            return self.after(EXECUTION_TIMEOUT, failed);
+        }
+        let (report, found) = match number {
+            Some(_) if !fake.accepts_writes() => (ExecutionReport::NotRun, 0),
+            Some(number) => {
+                let entry = FakeEntry { term: fake.term, operation, session, number };
+                fake.log.push(entry);
+                (ExecutionReport::Written(fake.position()), 0)
+            }
+            None => (ExecutionReport::Read(Some(fake.position())), fake.highest(session)),
+        };
+        // The answer of one in fifty is lost on the way.
+        let lost = self.rng.random_range(0..50) == 0;
+        let (report, delay) = match lost {
+            true => (ExecutionReport::Lost, 30 * MILLI),
+            false => (report, self.delay()),
+        };
+        self.after(delay, Action::Executed { host, request, report, found, epoch });
+    }
+
+    fn replicate(&mut self, database: usize) {
+        let delay = self.rng.random_range(3 * MILLI..12 * MILLI);
+        self.after(delay, Action::Replicate(database));
+        let fake = &self.databases[database];
+        let Some(index) = fake.follows.filter(|_| fake.replicates()) else {
+            return;
+        };
+        let primary = &self.databases[index];
+        let in_term = primary.term == fake.term && fake.term >= fake.fenced_below;
+        let prefix = primary.log.get(..fake.log.len()) == Some(&fake.log[..]);
+        if index != database && primary.replicates() && in_term && prefix {
+            let missing: Vec<FakeEntry> =
+                primary.log[fake.log.len()..].iter().take(3).copied().collect();
+            self.databases[database].log.extend(missing);
+        }
+    }
+
+    fn announce(&mut self, database: usize) {
+        self.after(300 * MILLI, Action::Announce(database));
+        let fake = &self.databases[database];
+        if !fake.answers() {
+            return;
+        }
+        let announcement = Announcement {
+            database: database_name(database),
+            group: group(),
+            address: address(database),
+            data_centre: DataCentre::new("tx-1").unwrap(),
+            connections: 30,
+            slots: 2,
+            role: fake.role,
+            term: fake.term,
+            leaving: false,
+        };
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.step(host, HostEvent::Announced(announcement));
+    }
+
+    fn next_operation(&mut self, session: usize) {
+        if self.now >= CALLERS_UNTIL {
+            return;
+        }
+        let host = self.rng.random_range(0..self.hosts.len());
+        let think = self.rng.random_range(1_000..20 * MILLI);
+        if self.hosts[host].state.is_none() {
+            return self.after(think, Action::NextOperation(session));
+        }
+        let writes = self.rng.random_range(0..10) < 4;
+        let number = writes.then(|| {
+            self.numbers[session] += 1;
+            self.numbers[session]
+        });
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        self.operations.push(CallerOperation {
+            session,
+            number,
+            sent_at: self.now,
+            answered_at: None,
+            outcome: Outcome::Unknown,
+            found: 0,
+        });
+        self.running.insert((host, request), self.operations.len() - 1);
+        let kind = match (writes, self.rng.random_range(0..2)) {
+            (true, _) => RequestKind::Write,
+            (false, 0) => RequestKind::SessionRead,
+            (false, _) => RequestKind::AgedRead(Duration::from_millis(500)),
+        };
+        let arrival = RequestArrival {
+            request,
+            group: group(),
+            kind,
+            mark: MarkSource::Keepers(LogPosition::default()),
+            session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            deadline: self.moment(host) + Duration::from_secs(2),
+        };
+        self.step(host, HostEvent::Arrived(arrival));
+    }
+
+    fn concluded(&mut self, host: usize, request: RequestId, result: ResultCode) {
+        let Some(operation) = self.running.remove(&(host, request)) else {
+            return;
+        };
+        let record = &mut self.operations[operation];
+        record.answered_at = Some(self.now);
+        record.outcome = result.outcome();
+        let session = record.session;
+        if record.number.is_some() && result == ResultCode::Done {
+            let newest = self.databases.iter().filter(|d| d.role == DatabaseRole::Primary);
+            let newest = newest.max_by_key(|database| database.term);
+            let stands = |d: &FakeDatabase| d.log.iter().any(|entry| entry.operation == operation);
+            if newest.is_some_and(|database| !stands(database)) {
+                let text = format!("write {operation} was acknowledged by a replaced primary");
+                self.verdict.note(text);
+            }
+        }
+        let think = self.rng.random_range(1_000..20 * MILLI);
+        self.after(think, Action::NextOperation(session));
+    }
+
+    // Operators: two of them race on each version; some repeat a request.
+
+    fn ask(&mut self, question: OperatorQuestion) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.tickets.insert(ticket, question.clone());
+        self.step(host, HostEvent::Asked { ticket, question });
+    }
+
+    fn operate(&mut self) {
+        if self.now < CALLERS_UNTIL {
+            self.after(150 * MILLI, Action::Operate);
+        }
+        for _ in 0..2 {
+            let max_waiting = self.rng.random_range(500..2_000);
+            let service = ServiceDeclaration { instances: 1, databases: 3, max_waiting };
+            let services = BTreeMap::from([(Arc::from("shiftbook"), service)]);
+            self.ask(OperatorQuestion::Plan(Intent::Declare(Declaration { services })));
+        }
+    }
+
+    fn answered(&mut self, ticket: u64, answer: OperatorAnswer) {
+        let Some(question) = self.tickets.remove(&ticket) else {
+            return;
+        };
+        match (question, answer) {
+            (OperatorQuestion::Plan(_), OperatorAnswer::Plan(Ok(plan))) => {
+                let request: Arc<str> = Arc::from(format!("request-{ticket}"));
+                self.plans.insert(ticket, (plan.id.clone(), plan.base_version));
+                let question = OperatorQuestion::Confirm {
+                    request,
+                    plan: plan.id,
+                    operator: Arc::from("op"),
+                    at_unix_ms: self.now / MILLI,
+                };
+                self.ask(question.clone());
+                if self.rng.random_range(0..4) == 0 {
+                    self.ask(question);
+                }
+            }
+            (OperatorQuestion::Confirm { request, .. }, OperatorAnswer::Confirm(answer)) => {
+                self.confirmed(request, answer.result, answer.version);
+            }
+            _ => {}
+        }
+    }
+
+    fn confirmed(&mut self, request: Arc<str>, result: ResultCode, version: u64) {
+        let first = *self.answers.entry(request.clone()).or_insert((result, version));
+        if first != (result, version) {
+            self.verdict.note(format!("{request} got two answers"));
+        }
+        let ticket: u64 = request["request-".len()..].parse().unwrap();
+        let Some((_, base)) = self.plans.get(&ticket) else {
+            return;
+        };
+        if result == ResultCode::Done && version > *base {
+            let winners = self.winners.entry(*base).or_default();
+            winners.insert(self.plans[&ticket].0.clone());
+            if winners.len() > 1 {
+                self.verdict.note(format!("two plans won on version {base}"));
+            }
+        }
+    }
+
+    // Faults.
+
+    fn fault(&mut self) {
+        if self.now >= FAULTS_UNTIL {
+            return self.heal();
+        }
+        let next = self.rng.random_range(100 * MILLI..1_500 * MILLI);
+        self.after(next, Action::Fault);
+        let length = self.rng.random_range(100 * MILLI..2_000 * MILLI);
+        let hosts = self.hosts.len();
+        let host = self.rng.random_range(0..hosts);
+        let database = self.rng.random_range(0..3);
+        match self.rng.random_range(0..12) {
+            0 => self.crash(host, length, false),
+            1 => self.crash(host, length, self.is_repaired()),
+            2 => {
+                let both = self.rng.random_range(0..2) == 0;
+                for other in (0..hosts).filter(|other| *other != host) {
+                    self.cut.insert((host, other));
+                    if both {
+                        self.cut.insert((other, host));
+                    }
+                }
+                self.after(length, Action::HealLinks);
+            }
+            3 => {
+                self.hosts[host].paused = true;
+                self.after(length.min(700 * MILLI), Action::Unpause(host));
+            }
+            4..6 => self.fail_primary(length, |database| database.stopped = true),
+            6 => self.fail_primary(length, |database| database.cut_from_hosts = true),
+            7 => self.fail_primary(length, |database| {
+                database.cut_from_hosts = true;
+                database.cut_from_group = true;
+            }),
+            10..12 => self.split(host, length),
+            8 => {
+                self.databases[database].cut_from_group = true;
+                self.after(length, Action::HealDatabase(database));
+            }
+            _ => {
+                self.databases[database].stopped = true;
+                self.after(length, Action::HealDatabase(database));
+            }
+        }
+    }
+
+    /// True if the loss of one more disk leaves a majority that remembers:
+    /// every voter is up, counts, and is known to count.
+    fn is_repaired(&self) -> bool {
+        let voters = self.voters();
+        self.hosts[..voters].iter().all(|host| {
+            let agreement = host.state.as_ref().and_then(HostState::agreement);
+            agreement.is_some_and(|a| a.is_eligible() && a.voters().len() == voters)
+        })
+    }
+
+    fn voters(&self) -> usize {
+        if self.hosts.len() >= 5 { 5 } else { 3 }
+    }
+
+    fn primary(&self) -> usize {
+        (0..3)
+            .filter(|index| self.databases[*index].accepts_writes())
+            .max_by_key(|index| self.databases[*index].term)
+            .unwrap_or(0)
+    }
+
+    /// One host stays with the primary, alone; replicas are reached by all.
+    fn split(&mut self, host: usize, length: u64) {
+        let primary = self.primary();
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            self.cut.insert((host, other));
+            self.cut.insert((other, host));
+            self.cut_paths.insert((other, primary));
+        }
+        self.after(length, Action::HealLinks);
+    }
+
+    fn fail_primary(&mut self, length: u64, change: impl Fn(&mut FakeDatabase)) {
+        let primary = self.primary();
+        change(&mut self.databases[primary]);
+        self.after(length, Action::HealDatabase(primary));
+    }
+
+    fn crash(&mut self, host: usize, length: u64, wiped: bool) {
+        if self.hosts[host].state.take().is_none() {
+            return;
+        }
+        self.hosts[host].epoch += 1;
+        self.hosts[host].watched.clear();
+        let running: Vec<(usize, RequestId)> =
+            self.running.keys().filter(|(at, _)| *at == host).copied().collect();
+        for key in running {
+            if let Some(operation) = self.running.remove(&key) {
+                let session = self.operations[operation].session;
+                self.after(20 * MILLI, Action::NextOperation(session));
+            }
+        }
+        self.after(length, Action::RestartHost { host, wiped });
+    }
+
+    fn restart(&mut self, host: usize, wiped: bool) {
+        if self.hosts[host].state.is_some() {
+            return;
+        }
+        if wiped {
+            self.hosts[host].journal.clear();
+        }
+        let seed = self.rng.random();
+        let voters = self.voters();
+        let now = self.moment(host);
+        let journal = self.hosts[host].journal.clone();
+        self.hosts[host].state = Some(HostState::new(settings(host, voters, seed), journal, now));
+        self.step(host, HostEvent::Tick);
+    }
+
+    fn heal(&mut self) {
+        self.cut.clear();
+        self.cut_paths.clear();
+        for database in 0..3 {
+            self.after(1, Action::HealDatabase(database));
+        }
+        for host in 0..self.hosts.len() {
+            self.after(2, Action::RestartHost { host, wiped: false });
+            if self.hosts[host].paused {
+                self.after(3, Action::Unpause(host));
+            }
+        }
+    }
+
+    fn judge(&mut self) {
+        let newest = self.databases.iter().filter(|database| database.accepts_writes());
+        let Some(primary) = newest.max_by_key(|database| database.term).cloned() else {
+            return self.verdict.note("no primary at the end".to_owned());
+        };
+        let operations = std::mem::take(&mut self.operations);
+        self.verdict.check_history(&operations, &primary);
+        let late = operations
+            .iter()
+            .filter(|o| o.sent_at > CALLERS_UNTIL - 1_000 * MILLI && o.outcome == Outcome::Ran)
+            .count();
+        if late == 0 {
+            self.verdict.note("nothing is served after all faults are healed".to_owned());
+        }
+    }
+}
+
+impl Action {
+    /// The host whose pause delays the action.
+    fn host(&self) -> Option<usize> {
+        match self {
+            Self::Tick(host)
+            | Self::Deliver { to: host, .. }
+            | Self::Persisted { host, .. }
+            | Self::Reported { host, .. }
+            | Self::Ordered { host, .. }
+            | Self::Executed { host, .. } => Some(*host),
+            _ => None,
+        }
+    }
+
+    /// The run of a host to which the action belongs.
+    fn epoch(&self) -> Option<(usize, u64)> {
+        match self {
+            Self::Deliver { to: host, epoch, .. }
+            | Self::Persisted { host, epoch, .. }
+            | Self::AskReport { host, epoch, .. }
+            | Self::Reported { host, epoch, .. }
+            | Self::Order { host, epoch, .. }
+            | Self::Ordered { host, epoch, .. }
+            | Self::Execute { host, epoch, .. }
+            | Self::Executed { host, epoch, .. } => Some((*host, *epoch)),
+            _ => None,
+        }
+    }
+}
+
+fn hash_of(text: &str) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/decisions/tests/schedule/schedule_verdict.rs
@@ -0,0 +1,87 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use hawthornstack_decisions::{identity::HostId, outcomes::Outcome};
+
+use super::fake_database::FakeDatabase;
+
+/// One operation of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerOperation {
+    pub session: usize,
+    /// Number that a write appends; `None` for a read.
+    pub number: Option<u64>,
+    pub sent_at: u64,
+    pub answered_at: Option<u64>,
+    pub outcome: Outcome,
+    /// What a read found.
+    pub found: u64,
+}
+
+/// What a schedule broke; all empty if nothing.
+#[derive(Debug, Clone, Default)]
+pub struct ScheduleVerdict {
+    pub broken: Vec<String>,
+    pub acknowledged: usize,
+    pub changes_of_primary: u64,
+}
+
+impl ScheduleVerdict {
+    pub fn note(&mut self, text: String) {
+        if self.broken.len() < 20 {
+            self.broken.push(text);
+        }
+    }
+
+    /// Checks the callers' history against the log that survived.
+    pub fn check_history(&mut self, operations: &[CallerOperation], primary: &FakeDatabase) {
+        let mut count: BTreeMap<usize, usize> = BTreeMap::new();
+        for entry in primary.log.iter().filter(|entry| entry.operation != usize::MAX) {
+            *count.entry(entry.operation).or_default() += 1;
+        }
+        for (index, operation) in operations.iter().enumerate() {
+            let stands = count.get(&index).copied().unwrap_or(0);
+            if stands > 1 {
+                self.note(format!("write {index} stands {stands} times"));
+            }
+            match (operation.number, operation.outcome) {
+                (Some(_), Outcome::Ran) if stands == 0 => {
+                    self.note(format!("write {index} was acknowledged and is lost"));
+                }
+                (Some(_), Outcome::DidNotRun) if stands > 0 => {
+                    self.note(format!("write {index} ran, its caller was told it did not"));
+                }
+                (None, Outcome::Ran) => self.check_read(operations, operation, index),
+                _ => {}
+            }
+        }
+        let ran = |o: &&CallerOperation| o.number.is_some() && o.outcome == Outcome::Ran;
+        self.acknowledged = operations.iter().filter(ran).count();
+        self.changes_of_primary = primary.term - 1;
+    }
+
+    fn check_read(&mut self, operations: &[CallerOperation], read: &CallerOperation, index: usize) {
+        let due = operations
+            .iter()
+            .filter(|o| o.session == read.session && o.outcome == Outcome::Ran)
+            .filter(|o| o.answered_at.is_some_and(|at| at <= read.sent_at))
+            .filter_map(|o| o.number)
+            .max()
+            .unwrap_or(0);
+        if read.found < due {
+            self.note(format!("read {index} found {} but {due} was acknowledged", read.found));
+        }
+    }
+
+    /// At most one leader a term.
+    pub fn check_leader(
+        &mut self,
+        leaders: &mut BTreeMap<u64, BTreeSet<HostId>>,
+        term: u64,
+        host: HostId,
+    ) {
+        let hosts = leaders.entry(term).or_default();
+        if hosts.insert(host) && hosts.len() > 1 {
+            self.note(format!("term {term} has the leaders {hosts:?}"));
+        }
+    }
+}
--- a/crates/lab/src/upstreams/database_core.rs
+++ b/crates/lab/src/upstreams/database_core.rs
@@ -62,7 +62,7 @@
 
     /// End of its log.
     pub fn position(&self) -> LogPosition {
-        LogPosition::new(self.term, self.log.len() as u64)
+        self.history.position_at(self.log.len() as u64)
     }
 
     /// True if it is a primary whose term is not fenced.
@@ -144,7 +144,11 @@
         self.role = DatabaseRole::Primary;
         self.term = term;
         self.fenced_below = term;
-        self.history.begin(BranchStart { term, base_offset: self.log.len() as u64 });
+        self.history.fork(term, self.log.len() as u64);
+        // The first entry of the term, so that the term can be held by a
+        // majority before any caller writes.
+        let committed_at = Instant::now();
+        self.log.push(Arc::new(LogRecord { term, statements: Vec::new(), committed_at }));
         Ok(())
     }
 
--- a/crates/wire/src/reports.rs
+++ b/crates/wire/src/reports.rs
@@ -12,16 +12,17 @@
 /// Statement that asks for the position after the statements before it.
 pub const POSITION_STATEMENT: &str = "SELECT hawthornstack_position()";
 
-/// Statement that answers with a report as soon as the position is past
-/// `after`, or after `wait_ms` milliseconds.
-pub fn report_statement(after: LogPosition, wait_ms: u64) -> String {
-    format!("SELECT hawthornstack_report({}, {}, {wait_ms})", after.term, after.offset)
+/// Statement that answers with a report as soon as the database is in another
+/// term than `term` or at another position than `position`, or after `wait_ms`
+/// milliseconds.
+pub fn report_statement(term: u64, position: LogPosition, wait_ms: u64) -> String {
+    format!("SELECT hawthornstack_report({term}, '{position}', {wait_ms})")
 }
 
 /// Statement that gives an order; answered with a report.
 pub fn order_statement(order: &DatabaseOrder) -> String {
     match order {
-        DatabaseOrder::Report => report_statement(LogPosition::default(), 0),
+        DatabaseOrder::Report => report_statement(0, LogPosition::default(), 0),
         DatabaseOrder::Fence { term } => format!("SELECT hawthornstack_fence({term})"),
         DatabaseOrder::Promote { term } => format!("SELECT hawthornstack_promote({term})"),
         DatabaseOrder::Follow { term, primary } => {
