--- a/crates/daemon/src/callers/caller_listener.rs
+++ b/crates/daemon/src/callers/caller_listener.rs
@@ -1,17 +1,34 @@
-use std::sync::Arc;
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex, PoisonError},
+};
 
-use hawthornstack_decisions::sessions::TokenKey;
+use hawthornstack_decisions::{identity::GroupName, sessions::TokenKey};
 use ractor::ActorRef;
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{CancelRegistry, caller_session::CallerSession};
+use super::{CancelRegistry, ForwardStore, caller_session::CallerSession};
 use crate::{
     host::{HostMessage, RequestNumbers},
     kernel::HostClock,
     upstreams::ConnectionStore,
 };
 
+/// Groups in which this daemon has seen the table of keyed requests.
+#[derive(Debug, Clone, Default)]
+pub struct KeyedGroups(Arc<Mutex<HashSet<GroupName>>>);
+
+impl KeyedGroups {
+    pub(super) fn contains(&self, group: &GroupName) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).contains(group)
+    }
+
+    pub(super) fn insert(&self, group: &GroupName) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(group.clone());
+    }
+}
+
 /// What every caller's task shares.
 #[derive(Clone)]
 pub struct CallerContext {
@@ -25,6 +42,10 @@
     pub numbers: RequestNumbers,
     /// Callers that can be cancelled.
     pub cancels: CancelRegistry,
+    /// Idle connections to homes.
+    pub forwards: ForwardStore,
+    /// Groups whose table of keyed requests is known to exist.
+    pub keyed_groups: KeyedGroups,
     /// Key of session tokens.
     pub token_key: TokenKey,
     /// Cancelled when idle callers are to leave.
--- a/crates/daemon/src/callers/caller_session.rs
+++ b/crates/daemon/src/callers/caller_session.rs
@@ -19,15 +19,16 @@
     cancel_registry::CancelTicket,
     extended_batch::{BatchItem, ExtendedBatch, is_local, is_read, last_query},
     request_runner::{RequestRunner, RequestWork, RunEnd, perform},
-    transaction::TransactionState,
+    transaction::{TransactionPlace, TransactionState},
 };
+use crate::upstreams::FORWARD_PARAMETER;
 
 /// Time within which a caller must finish its start-up.
 const STARTUP_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
 /// Version of PostgreSQL whose protocol is spoken.
 const SERVER_VERSION: &str = "15.0 (hawthornstack)";
 /// Name of the parameter that hands the session token to the caller.
-const TOKEN_PARAMETER: &str = "hawthornstack.token";
+pub(super) const TOKEN_PARAMETER: &str = "hawthornstack.token";
 
 /// What a caller's first packets ask for.
 enum StartupRequest {
@@ -287,9 +288,9 @@
                 let runner = RequestRunner { context: &self.context, cancel: &self.ticket };
                 let mark = self.state.mark;
                 match runner.end_transaction(&mut self.state, *open, word).await {
-                    Ok(tag) => {
+                    Ok(answer) => {
                         self.announce_token(mark);
-                        self.answer.complete(&tag);
+                        self.answer.raw(&answer.bytes);
                     }
                     Err(code) => return self.fail(code),
                 }
@@ -337,11 +338,17 @@
         let kind = self.state.request_kind(writes);
         let mark = self.state.mark;
         let runner = RequestRunner { context: &self.context, cancel: &self.ticket };
+        let key = self.state.request_key.clone().filter(|_| writes);
+        let used = key.is_some();
         let end = tokio::select! {
-            end = runner.run(&mut self.state, work, kind) => Some(end),
+            end = runner.run_write_or_read(&mut self.state, work, kind, key) => Some(end),
             _ = self.stream.closed() => None,
         };
         (self.state.max_age, self.state.request_key, self.state.timeout) = kept;
+        if used {
+            // A key names one write; the next one needs a key of its own.
+            self.state.request_key = None;
+        }
         match end {
             Some(RunEnd::Answered(answer)) => {
                 self.announce_token(mark);
@@ -396,7 +403,9 @@
                 }
             }
             _ => {
-                open.handle.report(ExecutionReport::RolledBack);
+                if let TransactionPlace::Database { handle, .. } = &mut open.place {
+                    handle.report(ExecutionReport::RolledBack);
+                }
                 self.transaction = TransactionState::Failed;
                 self.fail(ResultCode::TransactionLost)
             }
@@ -442,6 +451,7 @@
     let session = SessionId::new(&format!("s-{:016x}", rand::random::<u64>()))
         .map_err(|error| CallerError::Protocol { text: error.to_string() })?;
     let mut state = CallerState::new(group, session);
+    state.forwarded = parameters.contains_key(FORWARD_PARAMETER);
     let options = parameters.get("options").map(String::as_str).unwrap_or_default();
     let in_options = options
         .split_whitespace()
--- a/crates/daemon/src/callers/caller_state.rs
+++ b/crates/daemon/src/callers/caller_state.rs
@@ -9,6 +9,8 @@
     statements::{CallerSetting, SETTING_PREFIX, StatementClass},
 };
 
+use super::forward_state::{FORWARD_SETTING, ForwardedState};
+
 /// Time within which a statement must be answered, unless the caller says
 /// otherwise.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,6 +50,8 @@
     pub(super) max_age: Option<Duration>,
     pub(super) request_key: Option<Arc<str>>,
     pub(super) timeout: Duration,
+    /// The caller is another host that forwards requests.
+    pub(super) forwarded: bool,
     pub(super) prepared: HashMap<String, PreparedStatement>,
 }
 
@@ -68,6 +72,7 @@
             max_age: None,
             request_key: None,
             timeout: DEFAULT_TIMEOUT,
+            forwarded: false,
             prepared: HashMap::new(),
         }
     }
@@ -75,6 +80,9 @@
     /// Changes one setting for the rest of the session; nothing changes if it
     /// is refused.
     pub(super) fn set(&mut self, name: &str, value: &str, key: &TokenKey) -> Result<(), Refusal> {
+        if name == FORWARD_SETTING {
+            return self.take_forwarded_state(value);
+        }
         let Some(own) = name.strip_prefix(SETTING_PREFIX) else {
             if HARMLESS_SETTINGS.contains(&name) {
                 return Ok(());
@@ -120,6 +128,14 @@
         Ok(())
     }
 
+    /// Takes the mark of a token that a home handed out for this session.
+    pub(super) fn take_forwarded_token(&mut self, token: Option<String>, key: &TokenKey) {
+        let read = token.and_then(|text| SessionToken::decode(&text, key, &self.group).ok());
+        if let Some(token) = read {
+            self.mark = self.mark.max(token.mark);
+        }
+    }
+
     /// The text of a setting, for `SHOW`.
     pub(super) fn show(&self, name: &str, key: &TokenKey) -> Option<String> {
         let value = match name.strip_prefix(SETTING_PREFIX)? {
@@ -146,6 +162,17 @@
         token.encode(key)
     }
 
+    /// Takes the whole state that another host handed over.
+    fn take_forwarded_state(&mut self, value: &str) -> Result<(), Refusal> {
+        let forwarded = ForwardedState::read(value).filter(|_| self.forwarded);
+        let forwarded = forwarded.ok_or_else(|| Refusal {
+            code: ResultCode::BadSetting,
+            text: format!("{FORWARD_SETTING} is for hosts of the system only"),
+        })?;
+        forwarded.apply(self);
+        Ok(())
+    }
+
     /// Which databases may serve a statement of this session.
     pub(super) fn request_kind(&self, writes: bool) -> RequestKind {
         match (writes, self.max_age) {
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -1,3 +1,6 @@
+use std::sync::Arc;
+
+use bytes::BytesMut;
 use hawthornstack_decisions::{
     host::ExecutionReport,
     identity::DatabaseName,
@@ -13,7 +16,8 @@
     caller_state::CallerState,
     cancel_registry::CancelTicket,
     extended_batch::{BatchItem, BatchRequest},
-    transaction::OpenTransaction,
+    keyed_request::{KeyedRequest, REQUEST_TABLE},
+    transaction::{OpenTransaction, TransactionPlace},
 };
 use crate::{
     host::{RequestHandle, RequestSignal},
@@ -21,7 +25,7 @@
 };
 
 /// SQLSTATE of a database that does not accept writes.
-const READ_ONLY_SQLSTATE: &[u8] = b"C25006\0";
+const READ_ONLY_SQLSTATE: &str = "25006";
 
 /// What is sent to a database.
 #[derive(Debug, Clone, Copy)]
@@ -60,28 +64,55 @@
     connection: &mut UpstreamConnection,
     with_position: bool,
 ) -> Result<WorkAnswer, UpstreamError> {
-    let mut request = BatchRequest::default();
-    match work {
-        RequestWork::Simple(sql) => encode_query(sql, &mut request.bytes)?,
-        RequestWork::Batch(items) => request = BatchRequest::encode(items, connection)?,
-    }
+    let mut bytes = BytesMut::new();
+    let request = encode_work(work, connection, &mut bytes)?;
     let mut answers = 1;
     if with_position {
-        encode_query(POSITION_STATEMENT, &mut request.bytes)?;
+        encode_query(POSITION_STATEMENT, &mut bytes)?;
         answers = 2;
     }
-    let mut segments = connection.exchange(&request.bytes, answers).await?;
+    let mut segments = connection.exchange(&bytes, answers).await?;
     let position = match with_position {
         true => segments.pop().and_then(|segment| segment.position()),
         false => None,
     };
     let segment = segments.pop().unwrap_or_default();
+    let answer = relay_work(work, &request, &segment, connection);
+    Ok(WorkAnswer { answer, segment, position })
+}
+
+/// Writes work for a connection.
+pub(super) fn encode_work(
+    work: RequestWork<'_>,
+    connection: &UpstreamConnection,
+    bytes: &mut BytesMut,
+) -> Result<BatchRequest, UpstreamError> {
+    match work {
+        RequestWork::Simple(sql) => {
+            encode_query(sql, bytes)?;
+            Ok(BatchRequest::default())
+        }
+        RequestWork::Batch(items) => {
+            let request = BatchRequest::encode(items, connection)?;
+            bytes.extend_from_slice(&request.bytes);
+            Ok(request)
+        }
+    }
+}
+
+/// The caller's part of an answer, without its `ReadyForQuery`.
+pub(super) fn relay_work(
+    work: RequestWork<'_>,
+    request: &BatchRequest,
+    segment: &ReplySegment,
+    connection: &mut UpstreamConnection,
+) -> AnswerWriter {
     let mut answer = AnswerWriter::default();
     match work {
-        RequestWork::Simple(_) => relay_simple(&segment, &mut answer),
-        RequestWork::Batch(_) => request.relay(&segment, connection, &mut answer),
+        RequestWork::Simple(_) => relay_simple(segment, &mut answer),
+        RequestWork::Batch(_) => request.relay(segment, connection, &mut answer),
     }
-    Ok(WorkAnswer { answer, segment, position })
+    answer
 }
 
 /// Hands an answer on without its `ReadyForQuery` and the database's own
@@ -92,29 +123,42 @@
     }
 }
 
-/// True if the database refused the work because it does not accept writes, so
-/// that nothing of it ran.
-fn refused_as_read_only(segment: &ReplySegment) -> bool {
-    segment.iter().any(|(kind, frame)| {
-        let at = |window: &[u8]| window == READ_ONLY_SQLSTATE;
-        kind == b'E' && frame.windows(READ_ONLY_SQLSTATE.len()).any(at)
-    })
-}
-
 impl RequestRunner<'_> {
-    fn arrival(&self, state: &CallerState, kind: RequestKind) -> RequestArrival {
+    pub(super) fn arrival(&self, state: &CallerState, kind: RequestKind) -> RequestArrival {
         RequestArrival {
             request: self.context.numbers.next(),
             group: state.group.clone(),
             kind,
             mark: state.mark_source(),
             session: state.named.then(|| state.session.clone()),
+            forwarded: state.forwarded,
             deadline: self.context.clock.now() + state.timeout,
         }
     }
 
+    /// Runs work outside a transaction, under a request key if there is one.
+    pub(super) async fn run_write_or_read(
+        &self,
+        state: &mut CallerState,
+        work: RequestWork<'_>,
+        kind: RequestKind,
+        key: Option<Arc<str>>,
+    ) -> RunEnd {
+        let Some(key) = key else {
+            return self.run(state, work, kind).await;
+        };
+        if !self.context.keyed_groups.contains(&state.group) {
+            let table = RequestWork::Simple(REQUEST_TABLE);
+            if let RunEnd::Refused(code) = self.run(state, table, RequestKind::Write).await {
+                return RunEnd::Refused(code);
+            }
+            self.context.keyed_groups.insert(&state.group);
+        }
+        KeyedRequest::new(&key, work).run(self, state).await
+    }
+
     /// Runs work outside a transaction.
-    pub(super) async fn run(
+    async fn run(
         &self,
         state: &mut CallerState,
         work: RequestWork<'_>,
@@ -133,6 +177,10 @@
                         code => RunEnd::Refused(code),
                     };
                 }
+                RequestSignal::Forward(homes) => {
+                    let writes = kind == RequestKind::Write;
+                    return self.forward(state, work, writes, None, homes).await;
+                }
                 RequestSignal::Dispatch { database, address, .. } => {
                     let group = &state.group;
                     let opened = self.context.store.check_out(&database, address, group).await;
@@ -174,13 +222,15 @@
         loop {
             match handle.next().await {
                 RequestSignal::Conclude(conclusion) => return Err(conclusion.result),
+                RequestSignal::Forward(homes) => {
+                    return self.begin_at_home(state, begin, read_only, homes).await;
+                }
                 RequestSignal::Dispatch { database, address, .. } => {
                     match self.begin(state, begin, &database, address).await {
                         Ok(connection) => {
                             return Ok(OpenTransaction {
-                                handle,
+                                place: TransactionPlace::Database { handle, database },
                                 connection,
-                                database,
                                 read_only,
                                 status: b'T',
                             });
@@ -207,31 +257,52 @@
         }
     }
 
-    /// Ends a transaction with the caller's `COMMIT` or `ROLLBACK` and returns
-    /// the tag to answer with.
+    /// Ends a transaction with `COMMIT` or `ROLLBACK` and returns the answer.
     pub(super) async fn end_transaction(
         &self,
         state: &mut CallerState,
         open: OpenTransaction,
         sql: &str,
-    ) -> Result<String, ResultCode> {
-        let OpenTransaction { mut handle, mut connection, database, read_only, .. } = open;
-        let performed = perform(RequestWork::Simple(sql), &mut connection, true).await;
-        let ended = performed.as_ref().ok().filter(|done| done.segment.status == b'I');
-        let tag = ended.and_then(|done| done.segment.last_tag());
-        let committed = tag.as_deref() == Some("COMMIT") && !read_only;
-        let position = ended.and_then(|done| done.position);
-        if ended.is_some() {
-            self.context.store.check_in(&database, connection);
-        }
-        match (tag, position) {
-            (Some(tag), Some(position)) if committed => {
-                handle.report(ExecutionReport::Written(position));
-                self.conclude(state, handle).await.map(|()| tag)
+    ) -> Result<AnswerWriter, ResultCode> {
+        let OpenTransaction { place, mut connection, read_only, .. } = open;
+        let local = matches!(place, TransactionPlace::Database { .. });
+        let performed = perform(RequestWork::Simple(sql), &mut connection, local).await;
+        let ended = performed.as_ref().is_ok_and(|done| done.segment.status == b'I');
+        match place {
+            TransactionPlace::Home(home) => {
+                if ended {
+                    self.context.forwards.check_in(home, &state.group, connection);
+                }
+                self.end_at_home(state, performed)
+            }
+            TransactionPlace::Database { handle, database } => {
+                if ended {
+                    self.context.store.check_in(&database, connection);
+                }
+                let done = performed.ok().filter(|_| ended);
+                self.end_at_database(state, handle, done, read_only).await
             }
-            (Some(tag), _) if !committed => {
+        }
+    }
+
+    async fn end_at_database(
+        &self,
+        state: &mut CallerState,
+        handle: RequestHandle,
+        done: Option<WorkAnswer>,
+        read_only: bool,
+    ) -> Result<AnswerWriter, ResultCode> {
+        let mut handle = handle;
+        let tag = done.as_ref().and_then(|done| done.segment.last_tag());
+        let committed = tag.as_deref() == Some("COMMIT") && !read_only;
+        match done {
+            Some(done) if tag.is_some() && !committed => {
                 handle.report(ExecutionReport::RolledBack);
-                Ok(tag)
+                Ok(done.answer)
+            }
+            Some(WorkAnswer { answer, position: Some(position), .. }) if committed => {
+                handle.report(ExecutionReport::Written(position));
+                self.conclude(state, handle).await.map(|()| answer)
             }
             _ => {
                 handle.report(ExecutionReport::Lost);
@@ -243,6 +314,7 @@
         }
     }
 
+    /// Waits for the host's last word on a request.
     async fn conclude(
         &self,
         state: &mut CallerState,
@@ -276,7 +348,7 @@
         }
     };
     let writes = kind == RequestKind::Write;
-    if writes && refused_as_read_only(&done.segment) {
+    if writes && done.segment.has_sqlstate(READ_ONLY_SQLSTATE) {
         return (ExecutionReport::NotRun, Some(done.answer));
     }
     let report = match (writes && !done.segment.failed, done.position) {
--- a/crates/daemon/src/callers/transaction.rs
+++ b/crates/daemon/src/callers/transaction.rs
@@ -1,15 +1,23 @@
 use std::sync::Arc;
 
-use hawthornstack_decisions::identity::DatabaseName;
+use hawthornstack_decisions::identity::{DatabaseName, HostId};
 
 use crate::{host::RequestHandle, upstreams::UpstreamConnection};
 
+/// Where a transaction's connection leads.
+#[derive(Debug)]
+pub(super) enum TransactionPlace {
+    /// To a database, by leave of this host.
+    Database { handle: RequestHandle, database: DatabaseName },
+    /// To a home of the group.
+    Home(HostId),
+}
+
 /// A transaction that holds a connection.
 #[derive(Debug)]
 pub(super) struct OpenTransaction {
-    pub(super) handle: RequestHandle,
+    pub(super) place: TransactionPlace,
     pub(super) connection: UpstreamConnection,
-    pub(super) database: DatabaseName,
     pub(super) read_only: bool,
     /// `T` while it goes on, `E` after an error.
     pub(super) status: u8,
--- a/crates/daemon/src/host/host_message.rs
+++ b/crates/daemon/src/host/host_message.rs
@@ -2,7 +2,7 @@
 
 use hawthornstack_decisions::{
     control::AuditRecord,
-    host::{Conclusion, HostEvent, OperatorAnswer, OperatorQuestion},
+    host::{Conclusion, HomeAddress, HostEvent, OperatorAnswer, OperatorQuestion},
     identity::DatabaseName,
     requests::RequestArrival,
 };
@@ -21,6 +21,8 @@
         /// It is the group's primary.
         is_primary: bool,
     },
+    /// One of these homes is to run it; it is over here.
+    Forward(Vec<HomeAddress>),
     /// The request is over.
     Conclude(Conclusion),
 }
--- a/crates/daemon/src/host/host_service.rs
+++ b/crates/daemon/src/host/host_service.rs
@@ -2,6 +2,7 @@
 
 use hawthornstack_decisions::{
     agreement::JournalRecord,
+    clock::Moment,
     host::{HostEffect, HostEvent, HostSettings, HostState, OperatorAnswer, OperatorQuestion},
     identity::{HostId, RequestId},
 };
@@ -12,6 +13,7 @@
 use crate::{
     journal::JournalMessage,
     kernel::{HostClock, ServiceName},
+    metrics::DaemonMetrics,
     peers::PeersMessage,
     upstreams::UpstreamsMessage,
 };
@@ -33,6 +35,14 @@
     pub run: u64,
     /// Addresses of the voters.
     pub voters: HashMap<HostId, SocketAddr>,
+    /// Counts requests.
+    pub metrics: DaemonMetrics,
+}
+
+/// A caller's task that waits for signals.
+struct WaitingRequest {
+    signals: UnboundedSender<RequestSignal>,
+    arrived_at: Moment,
 }
 
 /// What the service holds while it runs.
@@ -42,13 +52,14 @@
     clock: HostClock,
     run: u64,
     voters: HashMap<HostId, SocketAddr>,
-    requests: HashMap<RequestId, UnboundedSender<RequestSignal>>,
+    requests: HashMap<RequestId, WaitingRequest>,
     questions: HashMap<u64, oneshot::Sender<OperatorAnswer>>,
     last_ticket: u64,
     peers: Option<ActorRef<PeersMessage>>,
     journal: Option<ActorRef<JournalMessage>>,
     upstreams: Option<ActorRef<UpstreamsMessage>>,
     delayed: Vec<HostEffect>,
+    metrics: DaemonMetrics,
 }
 
 impl Actor for HostService {
@@ -61,7 +72,7 @@
         _myself: ActorRef<HostMessage>,
         arguments: HostArguments,
     ) -> Result<HostServiceState, ActorProcessingErr> {
-        let HostArguments { settings, journal, clock, run, voters } = arguments;
+        let HostArguments { settings, journal, clock, run, voters, metrics } = arguments;
         let id = settings.id();
         let state = HostState::new(settings, journal, clock.now());
         Ok(HostServiceState {
@@ -77,6 +88,7 @@
             journal: None,
             upstreams: None,
             delayed: Vec::new(),
+            metrics,
         })
     }
 
@@ -89,7 +101,8 @@
         match message {
             HostMessage::Event(event) => state.step(event),
             HostMessage::Arrive(arrival, signals) => {
-                state.requests.insert(arrival.request, signals);
+                let waiting = WaitingRequest { signals, arrived_at: state.clock.now() };
+                state.requests.insert(arrival.request, waiting);
                 state.step(HostEvent::Arrived(arrival));
             }
             HostMessage::Ask(question, answer) => state.ask(question, answer),
@@ -142,11 +155,22 @@
     }
 
     fn signal(&mut self, request: RequestId, signal: RequestSignal) {
-        let over = matches!(signal, RequestSignal::Conclude(_));
-        let Some(signals) = self.requests.get(&request) else {
+        let Some(waiting) = self.requests.get(&request) else {
             return;
         };
-        let gone = signals.send(signal).is_err();
+        let over = match &signal {
+            RequestSignal::Dispatch { is_primary, .. } => {
+                self.metrics.count_dispatch(*is_primary);
+                false
+            }
+            RequestSignal::Forward(_) => true,
+            RequestSignal::Conclude(conclusion) => {
+                let elapsed = self.clock.now().since(waiting.arrived_at);
+                self.metrics.count_request(conclusion.result, elapsed.as_secs_f64());
+                true
+            }
+        };
+        let gone = waiting.signals.send(signal).is_err();
         if over || gone {
             self.requests.remove(&request);
         }
@@ -179,6 +203,9 @@
                 let signal = RequestSignal::Dispatch { database, address, is_primary };
                 self.signal(request, signal);
             }
+            HostEffect::Forward(request, homes) => {
+                self.signal(request, RequestSignal::Forward(homes));
+            }
             HostEffect::Conclude(request, conclusion) => {
                 self.signal(request, RequestSignal::Conclude(conclusion));
             }
--- a/crates/daemon/src/host/request_handle.rs
+++ b/crates/daemon/src/host/request_handle.rs
@@ -53,7 +53,7 @@
         }));
         match signal {
             RequestSignal::Dispatch { .. } => self.running = true,
-            RequestSignal::Conclude(_) => self.over = true,
+            RequestSignal::Forward(_) | RequestSignal::Conclude(_) => self.over = true,
         }
         signal
     }
--- a/crates/daemon/src/kernel/daemon_kernel.rs
+++ b/crates/daemon/src/kernel/daemon_kernel.rs
@@ -8,12 +8,13 @@
 
 use super::{
     HostClock, KernelError, ServiceName,
-    kernel_error::{ListenSnafu, SpawnSnafu},
+    kernel_error::{ListenSnafu, MetricsSnafu, SpawnSnafu},
 };
 use crate::{
-    callers::{CallerContext, CallerListener, CancelRegistry},
+    callers::{CallerContext, CallerListener, CancelRegistry, ForwardStore, KeyedGroups},
     host::{HostArguments, HostMessage, HostService, RequestNumbers, voter_addresses},
     journal::{JournalArguments, JournalFile, JournalService},
+    metrics::DaemonMetrics,
     operators::{OperatorContext, operator_routes},
     peers::{PeersArguments, PeersService},
     settings::DaemonSettings,
@@ -54,6 +55,7 @@
         let cancel = CancellationToken::new();
         let closing = CancellationToken::new();
         let unhealthy = CancellationToken::new();
+        let metrics = DaemonMetrics::start().context(MetricsSnafu)?;
         let journal = open_journal(settings)?;
         let callers = listen(settings.listen.callers).await?;
         let peers = listen(settings.listen.peers).await?;
@@ -71,6 +73,7 @@
             clock,
             run,
             voters: voter_addresses(settings),
+            metrics: metrics.clone(),
         };
         let name = |service: ServiceName| Some(service.path(me, run));
         let spawned = Actor::spawn(name(ServiceName::Host), HostService, arguments).await;
@@ -83,8 +86,13 @@
             let spawned = Actor::spawn(name, JournalService, arguments).await;
             services.push(spawned.context(SpawnSnafu { service: "journal" })?.0.get_cell());
         }
-        let arguments =
-            PeersArguments { me, host: host.clone(), listener: peers, cancel: cancel.clone() };
+        let arguments = PeersArguments {
+            me,
+            host: host.clone(),
+            listener: peers,
+            cancel: cancel.clone(),
+            metrics: metrics.clone(),
+        };
         let spawned = Actor::spawn(name(ServiceName::Peers), PeersService, arguments).await;
         services.push(spawned.context(SpawnSnafu { service: "peers" })?.0.get_cell());
 
@@ -100,7 +108,7 @@
 
         let tasks = TaskTracker::new();
         tokio::spawn(tick(host.clone(), cancel.clone()));
-        let context = OperatorContext { host: host.clone(), closing: unhealthy.clone() };
+        let context = OperatorContext { host: host.clone(), closing: unhealthy.clone(), metrics };
         let routes = operator_routes(context);
         let stopped = cancel.clone();
         tokio::spawn(async move {
@@ -115,6 +123,8 @@
                 store,
                 numbers: RequestNumbers::default(),
                 cancels: CancelRegistry::default(),
+                forwards: ForwardStore::default(),
+                keyed_groups: KeyedGroups::default(),
                 token_key: TokenKey::derive(&settings.sessions.secret),
                 closing: closing.clone(),
             },
--- a/crates/daemon/src/kernel/kernel_error.rs
+++ b/crates/daemon/src/kernel/kernel_error.rs
@@ -2,6 +2,8 @@
 
 use snafu::Snafu;
 
+use crate::metrics::MetricsError;
+
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -34,6 +36,12 @@
         /// Where the damage begins.
         offset: u64,
     },
+    /// Metrics cannot be had.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What is wrong.
+        source: MetricsError,
+    },
     /// A service did not start.
     #[snafu(display("service {service} did not start: {source}"))]
     Spawn {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod journal;
 pub mod kernel;
 pub mod logs;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod settings;
--- a/crates/daemon/src/operators/operator_routes.rs
+++ b/crates/daemon/src/operators/operator_routes.rs
@@ -16,13 +16,13 @@
 };
 use hawthornstack_wire::operators::{
     ANNOUNCE_PATH, AUDIT_PATH, CONFIRM_PATH, ConfirmRequest, ConfirmResponse, ErrorResponse,
-    HEALTH_PATH, PLAN_PATH, PlanRequest, PlanResponse, STATUS_PATH,
+    HEALTH_PATH, METRICS_PATH, PLAN_PATH, PlanRequest, PlanResponse, STATUS_PATH,
 };
 use ractor::ActorRef;
 use tokio::{sync::oneshot, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::host::HostMessage;
+use crate::{host::HostMessage, metrics::DaemonMetrics};
 
 /// Time for the host to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -34,6 +34,8 @@
     pub host: ActorRef<HostMessage>,
     /// Cancelled once this host takes no new callers.
     pub closing: CancellationToken,
+    /// The daemon's metrics.
+    pub metrics: DaemonMetrics,
 }
 
 /// Builds the routes of a host.
@@ -45,6 +47,7 @@
         .route(STATUS_PATH, get(status))
         .route(AUDIT_PATH, get(audit))
         .route(HEALTH_PATH, get(health))
+        .route(METRICS_PATH, get(metrics))
         .with_state(context)
 }
 
@@ -153,6 +156,10 @@
     }
 }
 
+async fn metrics(State(context): State<OperatorContext>) -> String {
+    context.metrics.page()
+}
+
 /// Tells the balancer whether to send callers here.
 async fn health(State(context): State<OperatorContext>) -> StatusCode {
     let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/src/peers/peer_link.rs
+++ b/crates/daemon/src/peers/peer_link.rs
@@ -19,7 +19,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::PeersMessage;
-use crate::host::HostMessage;
+use crate::{
+    host::HostMessage,
+    metrics::{DaemonMetrics, TrafficDirection},
+};
 
 /// Messages that may wait for a link before new ones are dropped.
 const LINK_QUEUE: usize = 4_096;
@@ -35,6 +38,7 @@
     pub(super) host: ActorRef<HostMessage>,
     pub(super) peers: ActorRef<PeersMessage>,
     pub(super) cancel: CancellationToken,
+    pub(super) metrics: DaemonMetrics,
 }
 
 /// How a link came about.
@@ -134,6 +138,7 @@
                 continue;
             }
         };
+        context.metrics.count_frame(kind, TrafficDirection::Sent, bytes.len());
         if sink.send(Message::binary(bytes)).await.is_err() {
             return;
         }
@@ -158,6 +163,8 @@
             let _ = context.peers.send_message(opened);
             origin = LinkOrigin::Dialled;
         }
+        let kind = frame.message.kind();
+        context.metrics.count_frame(kind, TrafficDirection::Received, bytes.len());
         let event = HostEvent::Peer(frame.from, frame.message);
         let _ = context.host.send_message(HostMessage::Event(event));
     }
--- a/crates/daemon/src/peers/peers_service.rs
+++ b/crates/daemon/src/peers/peers_service.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_link::{LinkContext, PeerLink};
-use crate::host::HostMessage;
+use crate::{host::HostMessage, metrics::DaemonMetrics};
 
 /// Requests to the peers service.
 #[derive(Debug)]
@@ -41,6 +41,8 @@
     pub listener: TcpListener,
     /// Ends all links.
     pub cancel: CancellationToken,
+    /// Counts frames.
+    pub metrics: DaemonMetrics,
 }
 
 /// What the service holds while it runs.
@@ -59,8 +61,8 @@
         myself: ActorRef<PeersMessage>,
         arguments: PeersArguments,
     ) -> Result<PeersState, ActorProcessingErr> {
-        let PeersArguments { me, host, listener, cancel } = arguments;
-        let context = LinkContext { me, host, peers: myself, cancel };
+        let PeersArguments { me, host, listener, cancel, metrics } = arguments;
+        let context = LinkContext { me, host, peers: myself, cancel, metrics };
         tokio::spawn(accept_links(context.clone(), listener));
         Ok(PeersState { context, links: HashMap::new() })
     }
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -255,6 +255,7 @@
             record: HostRecord {
                 id: self.host.id,
                 peer_address: self.listen.peers,
+                caller_address: self.listen.callers,
                 data_centre: self.host.data_centre.clone(),
                 draining: false,
             },
--- a/crates/daemon/src/upstreams/connection_store.rs
+++ b/crates/daemon/src/upstreams/connection_store.rs
@@ -6,7 +6,7 @@
 
 use hawthornstack_decisions::identity::{DatabaseName, GroupName};
 
-use super::{UpstreamConnection, UpstreamError, upstream_connection::MAX_PREPARED};
+use super::{UpstreamConnection, UpstreamError};
 
 type IdleConnections = HashMap<DatabaseName, Vec<UpstreamConnection>>;
 
@@ -39,7 +39,7 @@
     /// Gives a connection back whose last answer was whole and whose
     /// transaction is over.
     pub fn check_in(&self, database: &DatabaseName, connection: UpstreamConnection) {
-        if connection.prepared.len() > MAX_PREPARED {
+        if connection.is_worn() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/upstreams/mod.rs
+++ b/crates/daemon/src/upstreams/mod.rs
@@ -7,7 +7,7 @@
 mod upstreams_service;
 
 pub use connection_store::ConnectionStore;
+pub(crate) use upstream_connection::{FORWARD_PARAMETER, encode_frontend, encode_query};
 pub use upstream_connection::{ReplySegment, UpstreamConnection};
-pub(crate) use upstream_connection::{encode_frontend, encode_query};
 pub use upstream_error::UpstreamError;
 pub use upstreams_service::{UpstreamsArguments, UpstreamsMessage, UpstreamsService};
--- a/crates/daemon/src/upstreams/upstream_connection.rs
+++ b/crates/daemon/src/upstreams/upstream_connection.rs
@@ -29,8 +29,10 @@
 /// Largest answer that is held back until it is certain, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 /// Prepared statements kept on one connection before it is replaced.
-pub(crate) const MAX_PREPARED: usize = 500;
+const MAX_PREPARED: usize = 500;
 
+/// Start-up parameter of connections that forward requests to a home.
+pub(crate) const FORWARD_PARAMETER: &str = "hawthornstack_forward";
 /// Name under which the proxy connects.
 const UPSTREAM_USER: &str = "hawthornstack";
 
@@ -74,6 +76,23 @@
         read_position(self.first_row()?.first()?)
     }
 
+    /// True if an error with this SQLSTATE is among the messages.
+    pub fn has_sqlstate(&self, sqlstate: &str) -> bool {
+        let field = format!("C{sqlstate}\0");
+        let holds = |frame: &[u8]| frame.windows(field.len()).any(|at| at == field.as_bytes());
+        self.failed && self.iter().any(|(kind, frame)| kind == b'E' && holds(frame))
+    }
+
+    /// The last value of a parameter that the answer announces.
+    pub fn parameter(&self, name: &str) -> Option<String> {
+        let prefix = format!("{name}\0");
+        let value = self.iter().filter(|(kind, _)| *kind == b'S').filter_map(|(_, frame)| {
+            let body = frame.get(HEADER_BYTES..frame.len().saturating_sub(1))?;
+            body.strip_prefix(prefix.as_bytes())
+        });
+        String::from_utf8(value.last()?.to_vec()).ok()
+    }
+
     /// The tag of the last completed command.
     pub fn last_tag(&self) -> Option<String> {
         let (_, frame) = self.iter().filter(|(kind, _)| *kind == b'C').last()?;
@@ -127,19 +146,42 @@
     /// # Errors
     /// `UpstreamError` if the database cannot be reached or refuses.
     pub async fn open(address: SocketAddr, group: &str) -> Result<Self, UpstreamError> {
-        match timeout(CONNECT_TIMEOUT, Self::start(address, group)).await {
+        Self::open_with(address, group, None).await
+    }
+
+    /// Opens a connection to a home, which then serves what is forwarded to it.
+    ///
+    /// # Errors
+    /// `UpstreamError` if the home cannot be reached or refuses.
+    pub async fn open_forward(address: SocketAddr, group: &str) -> Result<Self, UpstreamError> {
+        Self::open_with(address, group, Some(FORWARD_PARAMETER)).await
+    }
+
+    async fn open_with(
+        address: SocketAddr,
+        group: &str,
+        parameter: Option<&str>,
+    ) -> Result<Self, UpstreamError> {
+        match timeout(CONNECT_TIMEOUT, Self::start(address, group, parameter)).await {
             Ok(opened) => opened,
             Err(_) => Err(UpstreamError::Late),
         }
     }
 
-    async fn start(address: SocketAddr, group: &str) -> Result<Self, UpstreamError> {
+    async fn start(
+        address: SocketAddr,
+        group: &str,
+        parameter: Option<&str>,
+    ) -> Result<Self, UpstreamError> {
         let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
         let mut connection = Self { stream, read: BytesMut::new(), prepared: HashSet::new() };
         let mut startup = Startup::new();
         startup.parameters.insert("user".to_owned(), UPSTREAM_USER.to_owned());
         startup.parameters.insert("database".to_owned(), group.to_owned());
+        if let Some(parameter) = parameter {
+            startup.parameters.insert(parameter.to_owned(), "on".to_owned());
+        }
         let mut bytes = BytesMut::new();
         encode(&startup, &mut bytes)?;
         connection.write(&bytes).await?;
@@ -243,6 +285,11 @@
         self.stream.write_all(bytes).await.context(BrokenSnafu)
     }
 
+    /// True if too many statements are prepared on the connection.
+    pub fn is_worn(&self) -> bool {
+        self.prepared.len() > MAX_PREPARED
+    }
+
     /// True if nothing arrived and the peer did not close since the last use.
     pub fn is_quiet(&self) -> bool {
         let mut probe = [0; 1];
--- a/crates/decisions/src/control/host_record.rs
+++ b/crates/decisions/src/control/host_record.rs
@@ -11,6 +11,8 @@
     pub id: HostId,
     /// Where other hosts reach it.
     pub peer_address: SocketAddr,
+    /// Where callers, and hosts that forward to it, reach it.
+    pub caller_address: SocketAddr,
     /// The data centre it stands in.
     pub data_centre: DataCentre,
     /// The host is being emptied and takes no new callers.
--- a/crates/decisions/src/host/host_effect.rs
+++ b/crates/decisions/src/host/host_effect.rs
@@ -9,6 +9,15 @@
     positions::LogPosition,
 };
 
+/// A home and where it takes forwarded requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeAddress {
+    /// The home.
+    pub host: HostId,
+    /// Where it accepts callers.
+    pub address: SocketAddr,
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Conclusion {
@@ -59,6 +68,9 @@
         /// The database is the group's primary.
         is_primary: bool,
     },
+    /// This host is no home of the request's group: one of these is to run it,
+    /// the nearest first. The request is over here.
+    Forward(RequestId, Vec<HomeAddress>),
     /// The request is over.
     Conclude(RequestId, Conclusion),
     /// Answer to an operator's question.
--- a/crates/decisions/src/host/lease_flow.rs
+++ b/crates/decisions/src/host/lease_flow.rs
@@ -1,5 +1,9 @@
 use super::{HostState, LeaseGrant, LeaseRequest, PeerMessage};
-use crate::{clock::Moment, control::ControlCommand, identity::HostId};
+use crate::{
+    clock::Moment,
+    control::{ControlCommand, HostRecord},
+    identity::HostId,
+};
 
 /// Unanswered lease requests after which another voter is asked for the leader.
 const UNANSWERED_LIMIT: u32 = 2;
@@ -80,10 +84,10 @@
     }
 
     /// Commits a host's facts when they are new.
-    fn note_host(&mut self, now: Moment, record: crate::control::HostRecord) {
+    fn note_host(&mut self, now: Moment, record: HostRecord) {
         let known = self.control.hosts.get(&record.id);
         let same = known.is_some_and(|known| {
-            known.peer_address == record.peer_address && known.data_centre == record.data_centre
+            HostRecord { draining: known.draining, ..record.clone() } == *known
         });
         if !same {
             self.propose_once(now, ControlCommand::HostJoined(record));
--- a/crates/decisions/src/host/mod.rs
+++ b/crates/decisions/src/host/mod.rs
@@ -15,7 +15,7 @@
 mod request_flow;
 
 pub use group_view::{GroupView, UnconfirmedWrite};
-pub use host_effect::{Conclusion, HostEffect};
+pub use host_effect::{Conclusion, HomeAddress, HostEffect};
 pub use host_event::{ExecutionReport, HostEvent};
 pub use host_settings::HostSettings;
 pub use host_state::HostState;
--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -1,8 +1,11 @@
 use std::time::Duration;
 
-use super::{Conclusion, ExecutionReport, GroupView, HostEffect, HostState, UnconfirmedWrite};
+use super::{
+    Conclusion, ExecutionReport, GroupView, HomeAddress, HostEffect, HostState, UnconfirmedWrite,
+};
 use crate::{
     clock::Moment,
+    control::HostRecord,
     directory::DatabaseStatus,
     identity::{DatabaseName, GroupName, RequestId},
     outcomes::ResultCode,
@@ -33,6 +36,9 @@
         };
         let asks_keepers =
             matches!(arrival.mark, MarkSource::Keepers(_)) && arrival.kind != RequestKind::Write;
+        if let Some(homes) = self.forward_homes(&arrival) {
+            return self.effects.push(HostEffect::Forward(request, homes));
+        }
         let refusal = self.check_arrival(&arrival);
         let deadline = arrival.deadline;
         let record = RequestRecord { arrival, mark, phase: RequestPhase::Queued };
@@ -48,6 +54,23 @@
         }
     }
 
+    /// The homes of a group that this host is no home of, those of its own data
+    /// centre first, each request beginning with another one.
+    fn forward_homes(&self, arrival: &RequestArrival) -> Option<Vec<HomeAddress>> {
+        if arrival.forwarded || self.groups.contains_key(&arrival.group) {
+            return None;
+        }
+        let record = self.control.groups.get(&arrival.group)?;
+        let known = record.homes.iter().filter_map(|home| self.control.hosts.get(home));
+        let mut homes: Vec<&HostRecord> = known.collect();
+        let turn = arrival.request.0 as usize % homes.len().max(1);
+        homes.rotate_left(turn);
+        homes.sort_by_key(|home| home.data_centre != self.settings.record.data_centre);
+        let address =
+            |home: &HostRecord| HomeAddress { host: home.id, address: home.caller_address };
+        (!homes.is_empty()).then(|| homes.into_iter().map(address).collect())
+    }
+
     fn check_arrival(&self, arrival: &RequestArrival) -> Option<ResultCode> {
         match self.groups.get(&arrival.group) {
             Some(group) if group.waiting() >= group.max_waiting => Some(ResultCode::QueueFull),
--- a/crates/decisions/src/outcomes/result_code.rs
+++ b/crates/decisions/src/outcomes/result_code.rs
@@ -92,6 +92,8 @@
     KeyReused = 305, "23505", DidNotRun, "This request key belongs to another statement.", "Use a new key for each new request.";
     /// A write was sent to a session that may only read.
     ReadOnlySession = 306, "25006", DidNotRun, "The statement writes inside a read-only transaction.", "Start a transaction without READ ONLY.";
+    /// The answer of a keyed request is too large to be kept for repeats.
+    AnswerTooLarge = 307, "54000", DidNotRun, "The answer of the keyed request has more than 64 KiB and cannot be kept; it was rolled back.", "Return fewer rows, or send it without a key.";
     /// The announcement belongs to a database known under another address.
     AnnouncedElsewhere = 401, "42710", DidNotRun, "A live database with this name is announced from another address or group.", "Stop the other one, or use a new name.";
     /// The plan's base is no longer current.
--- a/crates/decisions/src/requests/request_arrival.rs
+++ b/crates/decisions/src/requests/request_arrival.rs
@@ -40,6 +40,8 @@
     pub mark: MarkSource,
     /// The session under which marks are kept, if the caller named one.
     pub session: Option<SessionId>,
+    /// Another host forwarded it, so that it is served here or refused.
+    pub forwarded: bool,
     /// When the answer must be given.
     pub deadline: Moment,
 }
--- a/crates/decisions/src/statements/hints.rs
+++ b/crates/decisions/src/statements/hints.rs
@@ -32,3 +32,13 @@
     let body = sql.trim_start().strip_prefix("/*")?;
     body.find("*/").map(|end| &body[..end])
 }
+
+/// The statement without a leading hint comment.
+pub fn strip_hints(sql: &str) -> &str {
+    let text = sql.trim_start();
+    let is_hint = leading_comment(text).is_some_and(|body| body.trim().starts_with(HINT_MARK));
+    match text.find("*/").filter(|_| is_hint) {
+        Some(end) => text[end + 2..].trim_start(),
+        None => text,
+    }
+}
--- a/crates/decisions/src/statements/mod.rs
+++ b/crates/decisions/src/statements/mod.rs
@@ -7,4 +7,4 @@
 
 pub use caller_setting::{CallerSetting, SETTING_PREFIX, SettingError};
 pub use classifier::{SetAssignment, StatementClass, classify};
-pub use hints::read_hints;
+pub use hints::{read_hints, strip_hints};
--- a/crates/decisions/tests/schedule/schedule_run.rs
+++ b/crates/decisions/tests/schedule/schedule_run.rs
@@ -12,8 +12,8 @@
     directory::{Announcement, DatabaseRole, DatabaseStatus},
     failover::DatabaseOrder,
     host::{
-        ExecutionReport, HostEffect, HostEvent, HostSettings, HostState, OperatorAnswer,
-        OperatorQuestion, PeerMessage,
+        ExecutionReport, HomeAddress, HostEffect, HostEvent, HostSettings, HostState,
+        OperatorAnswer, OperatorQuestion, PeerMessage,
     },
     identity::{DataCentre, DatabaseName, GroupName, HostId, RequestId, SessionId},
     outcomes::{Outcome, ResultCode},
@@ -183,6 +183,7 @@
         record: HostRecord {
             id: HostId(index as u32),
             peer_address: SocketAddr::from(([10, 0, 0, 2], 7_000 + index as u16)),
+            caller_address: SocketAddr::from(([10, 0, 0, 2], 6_000 + index as u16)),
             data_centre: DataCentre::new("tx-1").unwrap(),
             draining: false,
         },
@@ -377,6 +378,7 @@
                 let delay = self.delay();
                 self.after(delay, Action::Execute { host, request, database, epoch });
             }
+            HostEffect::Forward(request, homes) => self.forward(host, request, &homes),
             HostEffect::Conclude(request, conclusion) => {
                 self.concluded(host, request, conclusion.result);
             }
@@ -661,11 +663,42 @@
             kind,
             mark: MarkSource::Keepers(LogPosition::default()),
             session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            forwarded: false,
             deadline: self.moment(host) + Duration::from_secs(2),
         };
         self.step(host, HostEvent::Arrived(arrival));
     }
 
+    /// Hands a request to the first home, as the daemon does; a home that is
+    /// down or cut off refuses it.
+    fn forward(&mut self, host: usize, request: RequestId, homes: &[HomeAddress]) {
+        let Some(operation) = self.running.remove(&(host, request)) else {
+            return;
+        };
+        let home = homes[0].host.0 as usize;
+        let record = &self.operations[operation];
+        let (session, number) = (record.session, record.number);
+        let unreachable = self.hosts[home].state.is_none() || self.cut.contains(&(host, home));
+        self.running.insert((home, request), operation);
+        if unreachable {
+            return self.concluded(home, request, ResultCode::NoDatabase);
+        }
+        let kind = match number {
+            Some(_) => RequestKind::Write,
+            None => RequestKind::SessionRead,
+        };
+        let arrival = RequestArrival {
+            request,
+            group: group(),
+            kind,
+            mark: MarkSource::Keepers(LogPosition::default()),
+            session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            forwarded: true,
+            deadline: self.moment(home) + Duration::from_secs(2),
+        };
+        self.step(home, HostEvent::Arrived(arrival));
+    }
+
     fn concluded(&mut self, host: usize, request: RequestId, result: ResultCode) {
         let Some(operation) = self.running.remove(&(host, request)) else {
             return;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,5 +3,8 @@
 pub mod cluster;
 pub mod demo;
 pub mod deployments;
+pub mod faults;
 pub mod history;
+pub mod latency;
+pub mod slopes;
 pub mod upstreams;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,8 +5,12 @@
 use argh::FromArgs;
 use hawthornstack_daemon::{logs::start_logs, settings::LogSettings};
 use hawthornstack_lab::{
+    cluster::ClusterError,
     demo::{DemoPlan, run_demo},
     deployments::{Deployment, DeploymentName},
+    faults::{FaultKind, FaultPlan, FaultRecord, run_faults, summarize},
+    latency::{LatencyPlan, run_latency},
+    slopes::run_slopes,
 };
 
 /// Exit code for a broken promise.
@@ -25,6 +29,9 @@
 #[argh(subcommand)]
 enum LabCommand {
     Demo(DemoCommand),
+    Fail(FailCommand),
+    Latency(LatencyCommand),
+    Slopes(SlopesCommand),
 }
 
 /// Run daemons, upstreams and callers in one process, with faults.
@@ -48,10 +55,55 @@
     logs: String,
 }
 
+/// Fail primaries under load; one JSON line a fault, then a summary.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fail")]
+struct FailCommand {
+    /// deployment: lone-star (default) or cascade
+    #[argh(option, default = "DeploymentName::LoneStar")]
+    deployment: DeploymentName,
+    /// rounds of each kind of fault (default 10)
+    #[argh(option, default = "10")]
+    rounds: u32,
+    /// seed of the stand-ins (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Compare requests straight to a database with requests through a daemon.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+struct LatencyCommand {
+    /// deployment: lone-star (default) or cascade
+    #[argh(option, default = "DeploymentName::LoneStar")]
+    deployment: DeploymentName,
+    /// concurrent callers (default 4)
+    #[argh(option, default = "4")]
+    callers: usize,
+    /// seconds of each of the six runs (default 3)
+    #[argh(option, default = "3")]
+    seconds: u64,
+}
+
+/// Measure how state, traffic, processor time and memory grow with size.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesCommand {
+    /// print one JSON object a line
+    #[argh(switch)]
+    json: bool,
+    /// seed of the stand-ins (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     let arguments: LabArguments = argh::from_env();
     match arguments.command {
         LabCommand::Demo(command) => demo(&command),
+        LabCommand::Fail(command) => fail(&command),
+        LabCommand::Latency(command) => latency(&command),
+        LabCommand::Slopes(command) => slopes(&command),
     }
 }
 
@@ -86,3 +138,66 @@
         false => ExitCode::from(EXIT_BROKEN),
     }
 }
+
+fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("A record cannot be written: {error}."),
+    }
+}
+
+fn not_run(error: &ClusterError) -> ExitCode {
+    eprintln!("The experiment did not run: {error}.");
+    ExitCode::from(EXIT_NOT_RUN)
+}
+
+#[tokio::main]
+async fn fail(command: &FailCommand) -> ExitCode {
+    let plan = FaultPlan {
+        deployment: Deployment::named(command.deployment),
+        rounds: command.rounds,
+        seed: command.seed,
+    };
+    let records = match run_faults(&plan, print_json).await {
+        Ok(records) => records,
+        Err(error) => return not_run(&error),
+    };
+    summarize(&records).iter().for_each(print_json);
+    let paused = |r: &&FaultRecord| r.kind == FaultKind::Paused && r.term_after > r.term_before;
+    match records.iter().filter(paused).count() {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::from(EXIT_BROKEN),
+    }
+}
+
+#[tokio::main]
+async fn latency(command: &LatencyCommand) -> ExitCode {
+    let plan = LatencyPlan {
+        deployment: Deployment::named(command.deployment),
+        callers: command.callers,
+        length: Duration::from_secs(command.seconds),
+        seed: 1,
+    };
+    match run_latency(&plan).await {
+        Ok(report) => {
+            print_json(&report);
+            ExitCode::SUCCESS
+        }
+        Err(error) => not_run(&error),
+    }
+}
+
+#[tokio::main]
+async fn slopes(command: &SlopesCommand) -> ExitCode {
+    match run_slopes(command.seed).await {
+        Ok(lines) if command.json => {
+            lines.iter().for_each(print_json);
+            ExitCode::SUCCESS
+        }
+        Ok(lines) => {
+            lines.iter().for_each(|line| println!("{}", line.to_text()));
+            ExitCode::SUCCESS
+        }
+        Err(error) => not_run(&error),
+    }
+}
--- a/crates/lab/src/upstreams/mod.rs
+++ b/crates/lab/src/upstreams/mod.rs
@@ -14,5 +14,5 @@
 pub use database_core::{DatabaseCore, LogRecord};
 pub use fault_switch::{Fault, FaultSwitch};
 pub use sql_engine::{EngineError, EngineRows, LoggedStatement, SqlEngine};
-pub use stand_in_database::{DatabaseCounters, StandInDatabase, StandInSettings};
+pub use stand_in_database::{DatabaseCounters, StandInDatabase, StandInSettings, TakenOrder};
 pub use stand_in_group::StandInGroup;
--- a/crates/lab/src/upstreams/pg_session.rs
+++ b/crates/lab/src/upstreams/pg_session.rs
@@ -531,11 +531,13 @@
                 self.wait_past(known, Duration::from_millis(number(2)?.min(1_000))).await;
             }
             "hawthornstack_fence" => {
+                self.database.note_order(name);
                 self.database.core().fence(number(0)?);
                 self.database.changed.notify_waiters();
             }
             "hawthornstack_promote" => {
                 let _writer = self.database.writer.clone().lock_owned().await;
+                self.database.note_order(name);
                 self.database.core().promote(number(0)?)?;
                 self.database.set_following(None);
                 self.database.changed.notify_waiters();
--- a/crates/lab/src/upstreams/stand_in_database.rs
+++ b/crates/lab/src/upstreams/stand_in_database.rs
@@ -14,6 +14,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Mutex as AsyncMutex, Notify, Semaphore},
+    time::Instant,
 };
 
 use super::{DatabaseCore, EngineError, FaultSwitch, pg_session::PgSession};
@@ -60,6 +61,15 @@
     pub open: AtomicU32,
 }
 
+/// An order that a database took.
+#[derive(Debug, Clone)]
+pub struct TakenOrder {
+    /// Name of the contract's function.
+    pub function: String,
+    /// When it was taken.
+    pub at: Instant,
+}
+
 /// One stand-in database: protocol, slots, connections, faults.
 pub struct StandInDatabase {
     /// Sizes and delays.
@@ -68,6 +78,8 @@
     pub address: SocketAddr,
     /// What is wrong with it.
     pub faults: FaultSwitch,
+    /// Orders that it took, with their times.
+    pub orders: Mutex<Vec<TakenOrder>>,
     /// What it counted.
     pub counters: DatabaseCounters,
     pub(super) slots: Semaphore,
@@ -94,6 +106,7 @@
             following: Mutex::new(None),
             core: Mutex::new(DatabaseCore::new(role)?),
             faults: FaultSwitch::default(),
+            orders: Mutex::new(Vec::new()),
             counters: DatabaseCounters::default(),
             settings,
             address,
@@ -121,6 +134,11 @@
         }
     }
 
+    pub(super) fn note_order(&self, function: &str) {
+        let order = TakenOrder { function: function.to_owned(), at: Instant::now() };
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner).push(order);
+    }
+
     pub(super) fn count_read(&self) {
         let counter = match self.core().role() {
             DatabaseRole::Primary => &self.counters.primary_reads,
--- /dev/null
+++ b/crates/lab/tests/forwarded_requests.rs
@@ -0,0 +1,79 @@
+//! Daemons that are no homes of a group serve its callers all the same.
+
+use std::time::Duration;
+
+use hawthornstack_lab::{
+    cluster::{ClusterPlan, LabCaller, LabCluster},
+    deployments::{Deployment, DeploymentName},
+    upstreams::Fault,
+};
+
+async fn start() -> LabCluster {
+    let deployment = Deployment {
+        instances: 1,
+        lag: Duration::from_millis(100),
+        ..Deployment::named(DeploymentName::LoneStar)
+    };
+    let plan = ClusterPlan { deployment, daemons: 6, voters: 3, homes: 2, seed: 5 };
+    LabCluster::start(plan).await.unwrap()
+}
+
+async fn connect(cluster: &LabCluster, daemon: usize, settings: &[String]) -> LabCaller {
+    let address = cluster.caller_addresses()[daemon];
+    LabCaller::connect(address, "shiftbook.1", settings).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_daemon_serves() {
+    let cluster = start().await;
+    let session = ["hawthornstack.session=roamer".to_owned()];
+    let first = connect(&cluster, 0, &session).await;
+    first.simple("CREATE TABLE t (a BIGINT)").await.unwrap();
+    for round in 1..=12 {
+        let writer = connect(&cluster, round % 6, &session).await;
+        let sql = "INSERT INTO t VALUES ($1::bigint)";
+        assert_eq!(writer.client.execute(sql, &[&(round as i64)]).await.unwrap(), 1);
+        let reader = connect(&cluster, (round + 1) % 6, &session).await;
+        let found = reader.simple("SELECT count(*) FROM t").await.unwrap();
+        assert_eq!(found.row[0].as_deref(), Some(round.to_string().as_str()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_and_keys() {
+    let cluster = start().await;
+    connect(&cluster, 0, &[]).await.simple("CREATE TABLE t (a BIGINT)").await.unwrap();
+    for daemon in 0..6 {
+        let mut caller = connect(&cluster, daemon, &[]).await;
+        let transaction = caller.client.transaction().await.unwrap();
+        transaction.execute("INSERT INTO t VALUES (1)", &[]).await.unwrap();
+        transaction.rollback().await.unwrap();
+        let transaction = caller.client.transaction().await.unwrap();
+        transaction.execute("INSERT INTO t VALUES (2)", &[]).await.unwrap();
+        transaction.commit().await.unwrap();
+        let keyed = "/* hawthornstack: request_key=once */ INSERT INTO t VALUES (3)";
+        assert_eq!(caller.simple(keyed).await.unwrap().changed, 1);
+        let bad = caller.simple("SELECT nothing FROM nowhere").await.unwrap_err();
+        assert!(bad.text.starts_with("42"), "{}", bad.text);
+    }
+    let caller = connect(&cluster, 5, &[]).await;
+    let sum = "SELECT count(*) FROM t WHERE a = ";
+    for (value, expected) in [(1, "0"), (2, "6"), (3, "1")] {
+        let found = caller.simple(&format!("{sum}{value}")).await.unwrap();
+        assert_eq!(found.row[0].as_deref(), Some(expected), "rows of {value}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn over_change_of_primary() {
+    let cluster = start().await;
+    let callers = [connect(&cluster, 0, &[]).await, connect(&cluster, 5, &[]).await];
+    callers[0].simple("CREATE TABLE t (a BIGINT)").await.unwrap();
+    cluster.groups[0].primary().unwrap().faults.set(Fault::Frozen);
+    for caller in &callers {
+        let key = "/* hawthornstack: request_key=after */ INSERT INTO t VALUES (1)";
+        assert_eq!(caller.simple(key).await.unwrap().changed, 1);
+        let found = caller.simple("SELECT count(*) FROM t").await.unwrap();
+        assert_eq!(found.row[0].as_deref(), Some("1"));
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/request_keys.rs
@@ -0,0 +1,63 @@
+//! Writes with a key run at most once, whatever is repeated where.
+
+use std::time::Duration;
+
+use hawthornstack_lab::{
+    cluster::{ClusterPlan, LabCaller, LabCluster},
+    deployments::{Deployment, DeploymentName},
+    upstreams::Fault,
+};
+
+async fn start() -> LabCluster {
+    let deployment = Deployment {
+        instances: 1,
+        lag: Duration::from_millis(10),
+        ..Deployment::named(DeploymentName::LoneStar)
+    };
+    let plan = ClusterPlan { deployment, daemons: 3, voters: 3, homes: 3, seed: 3 };
+    LabCluster::start(plan).await.unwrap()
+}
+
+async fn connect(cluster: &LabCluster, daemon: usize) -> LabCaller {
+    LabCaller::connect(cluster.caller_addresses()[daemon], "shiftbook.1", &[]).await.unwrap()
+}
+
+const CLAIM: &str = "/* hawthornstack: request_key=claim-1 */ UPDATE counter SET value = value + 1 \
+                     RETURNING value";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_get_first_answer() {
+    let cluster = start().await;
+    let first = connect(&cluster, 0).await;
+    first.simple("CREATE TABLE counter (value BIGINT)").await.unwrap();
+    first.simple("INSERT INTO counter VALUES (0)").await.unwrap();
+    let other = connect(&cluster, 1).await;
+    let (a, b) = tokio::join!(first.simple(CLAIM), other.simple(CLAIM));
+    assert_eq!(a.unwrap().row[0].as_deref(), Some("1"));
+    assert_eq!(b.unwrap().row[0].as_deref(), Some("1"));
+
+    let reused = other
+        .simple("/* hawthornstack: request_key=claim-1 */ UPDATE counter SET value = 9")
+        .await
+        .unwrap_err();
+    assert!(reused.text.contains("305"), "{}", reused.text);
+
+    cluster.groups[0].primary().unwrap().faults.set(Fault::Stopped);
+    let third = connect(&cluster, 2).await;
+    assert_eq!(third.simple(CLAIM).await.unwrap().row[0].as_deref(), Some("1"));
+    let value = third.simple("SELECT value FROM counter").await.unwrap();
+    assert_eq!(value.row[0].as_deref(), Some("1"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_statement_keeps_no_key() {
+    let cluster = start().await;
+    let caller = connect(&cluster, 0).await;
+    caller.simple("CREATE TABLE seats (seat BIGINT PRIMARY KEY)").await.unwrap();
+    caller.simple("INSERT INTO seats VALUES (1)").await.unwrap();
+    let doubled = "/* hawthornstack: request_key=k */ INSERT INTO seats VALUES (1)";
+    let refused = caller.simple(doubled).await.unwrap_err();
+    assert!(refused.text.starts_with("23505"), "{}", refused.text);
+    caller.simple("DELETE FROM seats").await.unwrap();
+    assert_eq!(caller.simple(doubled).await.unwrap().changed, 1);
+}
