Let callers take turns, refuse early, and drain without open requests

Cause: waiting requests were served in order of arrival, so one caller could hold up all; what could only be late was refused at its deadline; and a daemon that let idle callers go crossed requests that were on their way (12 requests left open in a rolling restart of 3 daemons under 6 writers, 2 in a drain of one host).

Change: one lane for each caller's name, lanes take turns; a request whose expected wait passes its deadline is refused at once with the time to come back. A caller that goes on while its daemon leaves is told with its next request, which then certainly did not run; only callers that stay idle for 3 s get an unasked word. An operator's drain of a host reaches the daemon.

After: rolling restart and host drain leave 0 requests open; the drain of a primary under load refuses and opens none (tests in graceful_change).

--- a/crates/daemon/src/callers/caller_listener.rs
+++ b/crates/daemon/src/callers/caller_listener.rs
@@ -1,11 +1,12 @@
 use std::{
     collections::HashSet,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use hawthornstack_decisions::{identity::GroupName, sessions::TokenKey};
 use ractor::ActorRef;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch, time::sleep};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{CancelRegistry, ForwardStore, caller_session::CallerSession};
@@ -15,6 +16,9 @@
     upstreams::ConnectionStore,
 };
 
+/// Time for which idle callers may stay once callers are to leave.
+const IDLE_GRACE: Duration = Duration::from_secs(3);
+
 /// Groups in which this daemon has seen the table of keyed requests.
 #[derive(Debug, Clone, Default)]
 pub struct KeyedGroups(Arc<Mutex<HashSet<GroupName>>>);
@@ -48,8 +52,31 @@
     pub keyed_groups: KeyedGroups,
     /// Key of session tokens.
     pub token_key: TokenKey,
-    /// Cancelled when idle callers are to leave.
+    /// Cancelled when idle callers are to leave for good.
     pub closing: CancellationToken,
+    /// True while an operator drains this host.
+    pub draining: watch::Receiver<bool>,
+}
+
+impl CallerContext {
+    /// True if callers are to leave.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.closing.is_cancelled() || *self.draining.borrow()
+    }
+
+    /// Waits until callers that stayed idle are to be let go.
+    pub(super) async fn idle_end(&self) {
+        self.leaving().await;
+        sleep(IDLE_GRACE).await;
+    }
+
+    async fn leaving(&self) {
+        let mut draining = self.draining.clone();
+        tokio::select! {
+            () = self.closing.cancelled() => {}
+            Ok(_) = draining.wait_for(|draining| *draining) => {}
+        }
+    }
 }
 
 /// Accepts callers.
--- a/crates/daemon/src/callers/caller_session.rs
+++ b/crates/daemon/src/callers/caller_session.rs
@@ -90,15 +90,15 @@
         let mut refused = false;
         loop {
             let message = tokio::select! {
-                () = self.context.closing.cancelled(), if self.is_idle() => {
-                    return RefusedSnafu {
-                        code: ResultCode::ShuttingDown,
-                        text: ResultCode::ShuttingDown.text(),
-                    }
-                    .fail();
-                }
+                () = self.context.idle_end(), if self.is_idle() => return shutting_down(),
                 message = self.stream.next() => message?,
             };
+            // A caller that goes on is told with its next request, which then
+            // certainly did not run; an unasked word could cross a request.
+            let ends = matches!(message, PgWireFrontendMessage::Terminate(_));
+            if self.is_idle() && self.context.is_leaving() && !ends {
+                return shutting_down();
+            }
             match message {
                 PgWireFrontendMessage::Query(query) => {
                     self.simple_query(&query.query).await?;
@@ -356,6 +356,11 @@
                 StatementEnd::Done
             }
             Some(RunEnd::Refused(code)) => self.fail(code),
+            Some(RunEnd::Busy(code, wait)) => {
+                let text = format!("{} Send it again after {} ms.", code.text(), wait.as_millis());
+                self.answer.error("ERROR", code, &text);
+                StatementEnd::Failed
+            }
             None => StatementEnd::Failed,
         }
     }
@@ -413,6 +418,11 @@
     }
 }
 
+fn shutting_down() -> Result<(), CallerError> {
+    let code = ResultCode::ShuttingDown;
+    RefusedSnafu { code, text: code.text() }.fail()
+}
+
 async fn read_startup(
     stream: &mut CallerStream,
     context: &CallerContext,
@@ -450,7 +460,7 @@
     })?;
     let session = SessionId::new(&format!("s-{:016x}", rand::random::<u64>()))
         .map_err(|error| CallerError::Protocol { text: error.to_string() })?;
-    let mut state = CallerState::new(group, session);
+    let mut state = CallerState::new(group, session, &user);
     state.forwarded = parameters.contains_key(FORWARD_PARAMETER);
     let options = parameters.get("options").map(String::as_str).unwrap_or_default();
     let in_options = options
@@ -475,5 +485,6 @@
         let mut answer = AnswerWriter::default();
         answer.error("FATAL", code, &error.to_string());
         let _ = stream.write(&mut answer.bytes).await;
+        stream.linger().await;
     }
 }
--- a/crates/daemon/src/callers/caller_state.rs
+++ b/crates/daemon/src/callers/caller_state.rs
@@ -46,6 +46,8 @@
     pub(super) session: SessionId,
     /// The caller named its session, so that other proxies may serve it too.
     pub(super) named: bool,
+    /// Name under which the caller's requests take turns.
+    pub(super) user: Arc<str>,
     pub(super) mark: LogPosition,
     pub(super) max_age: Option<Duration>,
     pub(super) request_key: Option<Arc<str>>,
@@ -63,11 +65,12 @@
 }
 
 impl CallerState {
-    pub(super) fn new(group: GroupName, session: SessionId) -> Self {
+    pub(super) fn new(group: GroupName, session: SessionId, user: &str) -> Self {
         Self {
             group,
             session,
             named: false,
+            user: Arc::from(user),
             mark: LogPosition::default(),
             max_age: None,
             request_key: None,
--- a/crates/daemon/src/callers/caller_stream.rs
+++ b/crates/daemon/src/callers/caller_stream.rs
@@ -15,6 +15,8 @@
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 /// Largest start-up packet accepted, in bytes.
 const MAX_STARTUP_BYTES: usize = 10_000;
+/// Time for a caller to close after its last message.
+const LINGER_TIME: std::time::Duration = std::time::Duration::from_secs(1);
 /// Bytes read at a time.
 const READ_BYTES: usize = 2_048;
 /// Buffers larger than this are given back when they are empty.
@@ -117,6 +119,19 @@
         }
     }
 
+    /// Ends the connection so that its last message arrives: closing with
+    /// unread bytes would reset it.
+    pub(super) async fn linger(&mut self) {
+        let drained = async {
+            if self.stream.shutdown().await.is_err() {
+                return;
+            }
+            let mut rest = [0; 1_024];
+            while matches!(self.stream.read(&mut rest).await, Ok(count) if count > 0) {}
+        };
+        let _ = tokio::time::timeout(LINGER_TIME, drained).await;
+    }
+
     /// Writes bytes.
     ///
     /// # Errors
--- a/crates/daemon/src/callers/forward_state.rs
+++ b/crates/daemon/src/callers/forward_state.rs
@@ -14,6 +14,7 @@
 pub(super) struct ForwardedState {
     session: SessionId,
     named: bool,
+    user: Arc<str>,
     mark: LogPosition,
     max_age: Option<Duration>,
     request_key: Option<Arc<str>>,
@@ -26,6 +27,7 @@
         Self {
             session: state.session.clone(),
             named: state.named,
+            user: state.user.clone(),
             mark: state.mark,
             max_age: state.max_age,
             request_key,
@@ -48,6 +50,7 @@
     pub(super) fn apply(self, state: &mut CallerState) {
         state.session = self.session;
         state.named = self.named;
+        state.user = self.user;
         state.mark = self.mark;
         state.max_age = self.max_age;
         state.request_key = self.request_key;
--- a/crates/daemon/src/callers/keyed_request.rs
+++ b/crates/daemon/src/callers/keyed_request.rs
@@ -96,10 +96,7 @@
             match handle.next().await {
                 RequestSignal::Conclude(conclusion) => {
                     state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
-                    return match conclusion.result {
-                        ResultCode::Done => RunEnd::Answered(held),
-                        code => RunEnd::Refused(code),
-                    };
+                    return RunEnd::of(&conclusion, held);
                 }
                 RequestSignal::Forward(homes) => {
                     let key = Some(self.key.clone());
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -1,8 +1,8 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use hawthornstack_decisions::{
-    host::ExecutionReport,
+    host::{Conclusion, ExecutionReport},
     identity::DatabaseName,
     outcomes::ResultCode,
     requests::{RequestArrival, RequestKind},
@@ -49,6 +49,19 @@
     Answered(AnswerWriter),
     /// It did not run to an answer.
     Refused(ResultCode),
+    /// Too much waits; it has a chance again after this time.
+    Busy(ResultCode, Duration),
+}
+
+impl RunEnd {
+    /// The end that the host's conclusion means for a held answer.
+    pub(super) fn of(conclusion: &Conclusion, held: AnswerWriter) -> Self {
+        match (conclusion.result, conclusion.retry_after) {
+            (ResultCode::Done, _) => Self::Answered(held),
+            (code, Some(wait)) => Self::Busy(code, wait),
+            (code, None) => Self::Refused(code),
+        }
+    }
 }
 
 /// Runs requests of one caller.
@@ -131,6 +144,7 @@
             kind,
             mark: state.mark_source(),
             session: state.named.then(|| state.session.clone()),
+            caller: state.user.clone(),
             forwarded: state.forwarded,
             deadline: self.context.clock.now() + state.timeout,
         }
@@ -149,8 +163,9 @@
         };
         if !self.context.keyed_groups.contains(&state.group) {
             let table = RequestWork::Simple(REQUEST_TABLE);
-            if let RunEnd::Refused(code) = self.run(state, table, RequestKind::Write).await {
-                return RunEnd::Refused(code);
+            match self.run(state, table, RequestKind::Write).await {
+                RunEnd::Answered(_) => {}
+                refused => return refused,
             }
             self.context.keyed_groups.insert(&state.group);
         }
@@ -172,10 +187,7 @@
             match handle.next().await {
                 RequestSignal::Conclude(conclusion) => {
                     state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
-                    return match conclusion.result {
-                        ResultCode::Done => RunEnd::Answered(held),
-                        code => RunEnd::Refused(code),
-                    };
+                    return RunEnd::of(&conclusion, held);
                 }
                 RequestSignal::Forward(homes) => {
                     let writes = kind == RequestKind::Write;
--- a/crates/daemon/src/host/host_service.rs
+++ b/crates/daemon/src/host/host_service.rs
@@ -7,7 +7,7 @@
     identity::{HostId, RequestId},
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::sync::{mpsc::UnboundedSender, oneshot};
+use tokio::sync::{mpsc::UnboundedSender, oneshot, watch};
 
 use super::{HostMessage, RequestSignal, status_page::status_page};
 use crate::{
@@ -37,6 +37,8 @@
     pub voters: HashMap<HostId, SocketAddr>,
     /// Counts requests.
     pub metrics: DaemonMetrics,
+    /// Told when an operator drains this host.
+    pub draining: watch::Sender<bool>,
 }
 
 /// A caller's task that waits for signals.
@@ -60,6 +62,7 @@
     upstreams: Option<ActorRef<UpstreamsMessage>>,
     delayed: Vec<HostEffect>,
     metrics: DaemonMetrics,
+    draining: watch::Sender<bool>,
 }
 
 impl Actor for HostService {
@@ -72,7 +75,7 @@
         _myself: ActorRef<HostMessage>,
         arguments: HostArguments,
     ) -> Result<HostServiceState, ActorProcessingErr> {
-        let HostArguments { settings, journal, clock, run, voters, metrics } = arguments;
+        let HostArguments { settings, journal, clock, run, voters, metrics, draining } = arguments;
         let id = settings.id();
         let state = HostState::new(settings, journal, clock.now());
         Ok(HostServiceState {
@@ -89,6 +92,7 @@
             upstreams: None,
             delayed: Vec::new(),
             metrics,
+            draining,
         })
     }
 
@@ -210,6 +214,10 @@
                 self.signal(request, RequestSignal::Conclude(conclusion));
             }
             HostEffect::Answer { ticket, answer } => self.answer(ticket, answer),
+            HostEffect::Draining(draining) => {
+                log::info!(target: "host", "An operator set draining to {draining}.");
+                self.draining.send_replace(draining);
+            }
             HostEffect::AnnouncementRefused { database, result } => {
                 let number = result.number();
                 let text = result.text();
--- a/crates/daemon/src/host/request_handle.rs
+++ b/crates/daemon/src/host/request_handle.rs
@@ -50,6 +50,7 @@
         let signal = self.signals.recv().await.unwrap_or(RequestSignal::Conclude(Conclusion {
             result: ResultCode::ShuttingDown,
             mark: None,
+            retry_after: None,
         }));
         match signal {
             RequestSignal::Dispatch { .. } => self.running = true,
--- a/crates/daemon/src/kernel/daemon_kernel.rs
+++ b/crates/daemon/src/kernel/daemon_kernel.rs
@@ -3,7 +3,7 @@
 use hawthornstack_decisions::{host::HostEvent, sessions::TokenKey};
 use ractor::{Actor, ActorCell, ActorRef};
 use snafu::ResultExt;
-use tokio::{net::TcpListener, time::MissedTickBehavior};
+use tokio::{net::TcpListener, sync::watch, time::MissedTickBehavior};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{
@@ -55,6 +55,7 @@
         let cancel = CancellationToken::new();
         let closing = CancellationToken::new();
         let unhealthy = CancellationToken::new();
+        let draining = watch::Sender::new(false);
         let metrics = DaemonMetrics::start().context(MetricsSnafu)?;
         let journal = open_journal(settings)?;
         let callers = listen(settings.listen.callers).await?;
@@ -74,6 +75,7 @@
             run,
             voters: voter_addresses(settings),
             metrics: metrics.clone(),
+            draining: draining.clone(),
         };
         let name = |service: ServiceName| Some(service.path(me, run));
         let spawned = Actor::spawn(name(ServiceName::Host), HostService, arguments).await;
@@ -108,7 +110,12 @@
 
         let tasks = TaskTracker::new();
         tokio::spawn(tick(host.clone(), cancel.clone()));
-        let context = OperatorContext { host: host.clone(), closing: unhealthy.clone(), metrics };
+        let context = OperatorContext {
+            host: host.clone(),
+            closing: unhealthy.clone(),
+            draining: draining.subscribe(),
+            metrics,
+        };
         let routes = operator_routes(context);
         let stopped = cancel.clone();
         tokio::spawn(async move {
@@ -127,6 +134,7 @@
                 keyed_groups: KeyedGroups::default(),
                 token_key: TokenKey::derive(&settings.sessions.secret),
                 closing: closing.clone(),
+                draining: draining.subscribe(),
             },
             tasks: tasks.clone(),
             cancel: cancel.clone(),
--- a/crates/daemon/src/operators/operator_routes.rs
+++ b/crates/daemon/src/operators/operator_routes.rs
@@ -19,7 +19,10 @@
     HEALTH_PATH, METRICS_PATH, PLAN_PATH, PlanRequest, PlanResponse, STATUS_PATH,
 };
 use ractor::ActorRef;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::{
+    sync::{oneshot, watch},
+    time::timeout,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{host::HostMessage, metrics::DaemonMetrics};
@@ -34,6 +37,8 @@
     pub host: ActorRef<HostMessage>,
     /// Cancelled once this host takes no new callers.
     pub closing: CancellationToken,
+    /// True while an operator drains this host.
+    pub draining: watch::Receiver<bool>,
     /// The daemon's metrics.
     pub metrics: DaemonMetrics,
 }
@@ -165,7 +170,8 @@
     let (sender, receiver) = oneshot::channel();
     let _ = context.host.send_message(HostMessage::Status(sender));
     let serves = receiver.await.is_ok_and(|page| page.has_lease);
-    match serves && !context.closing.is_cancelled() {
+    let leaving = context.closing.is_cancelled() || *context.draining.borrow();
+    match serves && !leaving {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/decisions/src/directory/database_view.rs
+++ b/crates/decisions/src/directory/database_view.rs
@@ -69,6 +69,11 @@
         now < self.ejected_until
     }
 
+    /// Mean time from sending a request to its answer.
+    pub fn service_time(&self) -> Duration {
+        self.service_time
+    }
+
     /// Expected time to serve one more request, in microseconds.
     pub fn expected_completion(&self) -> u64 {
         let slots = u64::from(self.record.slots.max(1));
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -141,7 +141,18 @@
         }
     }
 
+    /// Tells the daemon when an operator drains this host or takes it back.
+    fn refresh_draining(&mut self) {
+        let record = self.control.hosts.get(&self.settings.id());
+        let draining = record.is_some_and(|record| record.draining);
+        if draining != self.draining {
+            self.draining = draining;
+            self.effects.push(HostEffect::Draining(draining));
+        }
+    }
+
     pub(super) fn refresh_groups(&mut self, now: Moment) {
+        self.refresh_draining();
         let names: BTreeSet<GroupName> =
             self.control.groups.keys().chain(self.groups.keys()).cloned().collect();
         for name in names {
@@ -222,7 +233,7 @@
             return;
         };
         for request in view.writes.iter().chain(view.reads.iter()) {
-            self.conclude(now, *request, ResultCode::NoDatabase, None);
+            self.conclude(now, request, ResultCode::NoDatabase, None);
         }
         let databases: Vec<DatabaseName> = view.databases.into_keys().collect();
         for database in databases {
--- a/crates/decisions/src/host/group_view.rs
+++ b/crates/decisions/src/host/group_view.rs
@@ -1,4 +1,7 @@
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     clock::Moment,
@@ -6,6 +9,7 @@
     directory::DatabaseView,
     identity::{DatabaseName, RequestId},
     positions::{LogPosition, PrimarySamples},
+    requests::FairQueue,
 };
 
 /// A write that waits for a majority; ordered by position.
@@ -26,10 +30,10 @@
     pub databases: BTreeMap<DatabaseName, DatabaseView>,
     /// What the primary was seen to hold.
     pub samples: PrimarySamples,
-    /// Writes that wait for the primary, oldest first.
-    pub writes: VecDeque<RequestId>,
-    /// Reads that wait for a database, oldest first.
-    pub reads: VecDeque<RequestId>,
+    /// Writes that wait for the primary.
+    pub writes: FairQueue,
+    /// Reads that wait for a database.
+    pub reads: FairQueue,
     /// Writes that wait for a majority, by position.
     pub unconfirmed: BTreeSet<UnconfirmedWrite>,
     /// When the primary last reported in its term.
@@ -55,8 +59,8 @@
             record,
             databases: BTreeMap::new(),
             samples: PrimarySamples::default(),
-            writes: VecDeque::new(),
-            reads: VecDeque::new(),
+            writes: FairQueue::default(),
+            reads: FairQueue::default(),
             unconfirmed: BTreeSet::new(),
             primary_heard_at: now,
             primary_failures: 0,
@@ -109,6 +113,28 @@
         (observed.status.term == self.record.term).then_some(observed.status.position)
     }
 
+    /// True if any database has a free connection.
+    pub fn has_room(&self, now: Moment) -> bool {
+        self.databases.values().any(|view| view.is_available(now))
+    }
+
+    /// Time that a request which arrives now would wait, from the requests
+    /// before it and the pace of the databases that serve them.
+    pub fn expected_wait(&self, is_write: bool) -> Duration {
+        let serving = self.databases.values().filter(|view| match is_write {
+            true => view.record.database == self.record.primary,
+            false => view.record.takes_work(),
+        });
+        let pace: f64 = serving
+            .map(|view| f64::from(view.share) / view.service_time().as_secs_f64().max(1e-6))
+            .sum();
+        let ahead = if is_write { self.writes.len() } else { self.waiting() };
+        match pace > 0.0 {
+            true => Duration::from_secs_f64((ahead as f64 / pace).min(3_600.0)),
+            false => Duration::ZERO,
+        }
+    }
+
     /// Requests that wait for a database.
     pub fn waiting(&self) -> usize {
         self.writes.len() + self.reads.len()
--- a/crates/decisions/src/host/host_effect.rs
+++ b/crates/decisions/src/host/host_effect.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{OperatorAnswer, PeerMessage};
 use crate::{
@@ -25,6 +25,8 @@
     pub result: ResultCode,
     /// The session's mark from now on, if it changed.
     pub mark: Option<LogPosition>,
+    /// When a refused request has a chance again.
+    pub retry_after: Option<Duration>,
 }
 
 /// Output of a host, in the order in which it must be carried out.
@@ -80,6 +82,8 @@
         /// The answer.
         answer: OperatorAnswer,
     },
+    /// An operator drains this host, or takes it back.
+    Draining(bool),
     /// An announcement was refused.
     AnnouncementRefused {
         /// The database.
--- a/crates/decisions/src/host/host_state.rs
+++ b/crates/decisions/src/host/host_state.rs
@@ -36,6 +36,7 @@
     pub(super) subscribers: BTreeMap<HostId, Subscriber>,
     pub(super) recent: VecDeque<ControlCommand>,
     pub(super) questions: Vec<PendingQuestion>,
+    pub(super) draining: bool,
     pub(super) effects: Vec<HostEffect>,
 }
 
@@ -94,6 +95,7 @@
             subscribers: BTreeMap::new(),
             recent: VecDeque::new(),
             questions: Vec::new(),
+            draining: false,
             effects: Vec::new(),
         };
         host.refresh_groups(now);
--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -39,7 +39,7 @@
         if let Some(homes) = self.forward_homes(&arrival) {
             return self.effects.push(HostEffect::Forward(request, homes));
         }
-        let refusal = self.check_arrival(&arrival);
+        let refusal = self.check_arrival(now, &arrival);
         let deadline = arrival.deadline;
         let record = RequestRecord { arrival, mark, phase: RequestPhase::Queued };
         self.requests.insert(request, record);
@@ -71,9 +71,10 @@
         (!homes.is_empty()).then(|| homes.into_iter().map(address).collect())
     }
 
-    fn check_arrival(&self, arrival: &RequestArrival) -> Option<ResultCode> {
+    fn check_arrival(&self, now: Moment, arrival: &RequestArrival) -> Option<ResultCode> {
         match self.groups.get(&arrival.group) {
             Some(group) if group.waiting() >= group.max_waiting => Some(ResultCode::QueueFull),
+            Some(group) if self.would_be_late(now, group, arrival) => Some(ResultCode::QueueFull),
             Some(_) => None,
             None if self.control.groups.contains_key(&arrival.group) => {
                 Some(ResultCode::NoDatabase)
@@ -82,6 +83,12 @@
         }
     }
 
+    /// True if the request could only be refused later, at its deadline.
+    fn would_be_late(&self, now: Moment, group: &GroupView, arrival: &RequestArrival) -> bool {
+        let wait = group.expected_wait(arrival.kind == RequestKind::Write);
+        now + wait > arrival.deadline
+    }
+
     /// Puts a request whose mark is settled into its group's queue.
     pub(super) fn enqueue(&mut self, now: Moment, request: RequestId) {
         let Some(record) = self.requests.get_mut(&request) else {
@@ -91,12 +98,13 @@
         let name = record.arrival.group.clone();
         let deadline = record.arrival.deadline;
         let is_write = record.arrival.kind == RequestKind::Write;
+        let caller = record.arrival.caller.clone();
         let Some(group) = self.groups.get_mut(&name) else {
             return self.conclude(now, request, ResultCode::NoDatabase, None);
         };
         match is_write {
-            true => group.writes.push_back(request),
-            false => group.reads.push_back(request),
+            true => group.writes.push(&caller, request),
+            false => group.reads.push(&caller, request),
         }
         self.set_deadline(request, deadline);
         self.pump(now, &name);
@@ -114,30 +122,35 @@
         if !self.has_lease(now) {
             return;
         }
-        while let Some(request) = self.groups.get(name).and_then(|g| g.writes.front().copied()) {
-            let Some(database) = self.choose(now, name, request) else {
-                break;
-            };
-            if let Some(group) = self.groups.get_mut(name) {
-                group.writes.pop_front();
-            }
-            self.dispatch(now, name, request, database);
-        }
-        let mut position = 0;
-        while position < READ_SCAN {
-            let waiting = self.groups.get(name).and_then(|g| g.reads.get(position).copied());
-            let Some(request) = waiting else {
-                break;
-            };
-            let Some(database) = self.choose(now, name, request) else {
-                position += 1;
-                continue;
-            };
-            if let Some(group) = self.groups.get_mut(name) {
-                group.reads.remove(position);
+        while self.serve_next(now, name, true) {}
+        while self.serve_next(now, name, false) {}
+    }
+
+    /// Sends the first waiting request for which a database is free.
+    fn serve_next(&mut self, now: Moment, name: &GroupName, is_write: bool) -> bool {
+        let Some(group) = self.groups.get(name).filter(|group| group.has_room(now)) else {
+            return false;
+        };
+        // Writes all wait for the same database; reads need not.
+        let upcoming = match is_write {
+            true => group.writes.upcoming(1),
+            false => group.reads.upcoming(READ_SCAN),
+        };
+        let chosen = upcoming
+            .into_iter()
+            .find_map(|request| Some((request, self.choose(now, name, request)?)));
+        let Some((request, database)) = chosen else {
+            return false;
+        };
+        let caller = self.requests.get(&request).map(|record| record.arrival.caller.clone());
+        if let (Some(group), Some(caller)) = (self.groups.get_mut(name), caller) {
+            match is_write {
+                true => group.writes.serve(&caller, request),
+                false => group.reads.serve(&caller, request),
             }
-            self.dispatch(now, name, request, database);
         }
+        self.dispatch(now, name, request, database);
+        true
     }
 
     fn choose(&self, now: Moment, name: &GroupName, request: RequestId) -> Option<DatabaseName> {
@@ -384,10 +397,16 @@
         let Some(record) = self.requests.remove(&request) else {
             return;
         };
+        let mut retry_after = None;
         if let Some(group) = self.groups.get_mut(&record.arrival.group) {
-            group.forget(request, &record.phase);
+            group.forget(request, &record);
+            if result == ResultCode::QueueFull {
+                let is_write = record.arrival.kind == RequestKind::Write;
+                retry_after = Some(group.expected_wait(is_write));
+            }
         }
-        self.effects.push(HostEffect::Conclude(request, Conclusion { result, mark }));
+        let conclusion = Conclusion { result, mark, retry_after };
+        self.effects.push(HostEffect::Conclude(request, conclusion));
     }
 }
 
@@ -422,11 +441,12 @@
         (written && self.is_held_by_majority(first)).then_some(status)
     }
 
-    fn forget(&mut self, request: RequestId, phase: &RequestPhase) {
-        match phase {
+    fn forget(&mut self, request: RequestId, record: &RequestRecord) {
+        let caller = &record.arrival.caller;
+        match &record.phase {
             RequestPhase::Queued => {
-                self.writes.retain(|waiting| *waiting != request);
-                self.reads.retain(|waiting| *waiting != request);
+                self.writes.remove(caller, request);
+                self.reads.remove(caller, request);
             }
             RequestPhase::AwaitingMajority { position } => {
                 self.unconfirmed.remove(&UnconfirmedWrite { position: *position, request });
--- a/crates/decisions/src/requests/mod.rs
+++ b/crates/decisions/src/requests/mod.rs
@@ -1,7 +1,9 @@
 //! Requests of callers on their way through a host.
 
+mod fair_queue;
 mod request_arrival;
 mod request_record;
 
+pub use fair_queue::FairQueue;
 pub use request_arrival::{MarkSource, RequestArrival, RequestKind};
 pub use request_record::{RequestPhase, RequestRecord};
--- a/crates/decisions/src/requests/request_arrival.rs
+++ b/crates/decisions/src/requests/request_arrival.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     clock::Moment,
@@ -40,6 +40,8 @@
     pub mark: MarkSource,
     /// The session under which marks are kept, if the caller named one.
     pub session: Option<SessionId>,
+    /// Who sends it; waiting requests of different names take turns.
+    pub caller: Arc<str>,
     /// Another host forwarded it, so that it is served here or refused.
     pub forwarded: bool,
     /// When the answer must be given.
--- a/crates/decisions/tests/schedule/schedule_run.rs
+++ b/crates/decisions/tests/schedule/schedule_run.rs
@@ -383,7 +383,9 @@
                 self.concluded(host, request, conclusion.result);
             }
             HostEffect::Answer { ticket, answer } => self.answered(ticket, answer),
-            HostEffect::AnnouncementRefused { .. } | HostEffect::Note(_) => {}
+            HostEffect::AnnouncementRefused { .. }
+            | HostEffect::Draining(_)
+            | HostEffect::Note(_) => {}
         }
     }
 
@@ -663,6 +665,7 @@
             kind,
             mark: MarkSource::Keepers(LogPosition::default()),
             session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            caller: Arc::from(format!("caller-{session}")),
             forwarded: false,
             deadline: self.moment(host) + Duration::from_secs(2),
         };
@@ -693,6 +696,7 @@
             kind,
             mark: MarkSource::Keepers(LogPosition::default()),
             session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            caller: Arc::from(format!("caller-{session}")),
             forwarded: true,
             deadline: self.moment(home) + Duration::from_secs(2),
         };
--- a/crates/lab/src/cluster/lab_caller.rs
+++ b/crates/lab/src/cluster/lab_caller.rs
@@ -49,10 +49,23 @@
         daemon: SocketAddr,
         group: &str,
         settings: &[String],
+    ) -> Result<Self, CallFailure> {
+        Self::connect_as(daemon, group, "lab", settings).await
+    }
+
+    /// Connects under a caller's name.
+    ///
+    /// # Errors
+    /// `CallFailure` if the daemon cannot be reached or refuses.
+    pub async fn connect_as(
+        daemon: SocketAddr,
+        group: &str,
+        user: &str,
+        settings: &[String],
     ) -> Result<Self, CallFailure> {
         let options: Vec<String> = settings.iter().map(|setting| format!("-c {setting}")).collect();
         let mut config = Config::new();
-        config.host(daemon.ip().to_string()).port(daemon.port()).user("lab").dbname(group);
+        config.host(daemon.ip().to_string()).port(daemon.port()).user(user).dbname(group);
         config.options(options.join(" "));
         let (client, connection) = config.connect(NoTls).await?;
         let connection = tokio::spawn(async move {
--- a/crates/lab/src/cluster/lab_cluster.rs
+++ b/crates/lab/src/cluster/lab_cluster.rs
@@ -27,7 +27,7 @@
 };
 use crate::{
     deployments::Deployment,
-    upstreams::{StandInDatabase, StandInGroup, StandInSettings, announce_forever},
+    upstreams::{StandInDatabase, StandInGroup, StandInSettings, announce_forever, free_address},
 };
 
 /// Longest wait for a cluster to serve.
@@ -257,12 +257,6 @@
         .collect()
 }
 
-/// A free port of loopback.
-fn free_address() -> Result<SocketAddr, ClusterError> {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").context(SystemSnafu)?;
-    listener.local_addr().context(SystemSnafu)
-}
-
 fn daemon_settings(
     plan: &ClusterPlan,
     folder: &std::path::Path,
@@ -270,9 +264,9 @@
     let mut listens = Vec::new();
     for _ in 0..plan.daemons {
         listens.push(ListenSettings {
-            callers: free_address()?,
-            peers: free_address()?,
-            operators: free_address()?,
+            callers: free_address().context(SystemSnafu)?,
+            peers: free_address().context(SystemSnafu)?,
+            operators: free_address().context(SystemSnafu)?,
         });
     }
     let voters: Vec<VoterAddress> = (1..=plan.voters)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod faults;
 pub mod history;
 pub mod latency;
+pub mod load;
 pub mod slopes;
 pub mod upstreams;
--- /dev/null
+++ b/crates/lab/src/load/mod.rs
@@ -0,0 +1,9 @@
+//! Open-loop load at a stated multiple of the databases' capacity.
+
+mod load_profile;
+mod load_report;
+mod load_run;
+
+pub use load_profile::LoadProfile;
+pub use load_report::LoadReport;
+pub use load_run::{LoadPlan, run_load};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
     deployments::{Deployment, DeploymentName},
     faults::{FaultKind, FaultPlan, FaultRecord, run_faults, summarize},
     latency::{LatencyPlan, run_latency},
+    load::{LoadPlan, LoadProfile, run_load},
     slopes::run_slopes,
 };
 
@@ -31,6 +32,7 @@
     Demo(DemoCommand),
     Fail(FailCommand),
     Latency(LatencyCommand),
+    Load(LoadCommand),
     Slopes(SlopesCommand),
 }
 
@@ -85,6 +87,34 @@
     seconds: u64,
 }
 
+/// Send open-loop load at multiples of the databases' capacity.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadCommand {
+    /// deployment: lone-star (default) or cascade
+    #[argh(option, default = "DeploymentName::LoneStar")]
+    deployment: DeploymentName,
+    /// call-time, browsing, holy-days (default) or claims
+    #[argh(option, default = "LoadProfile::HolyDays")]
+    profile: LoadProfile,
+    /// multiple of the capacity; may be given more than once (default 0.7, 1,
+    /// 1.5 and 3)
+    #[argh(option)]
+    factor: Vec<f64>,
+    /// seconds of each run (default 5)
+    #[argh(option, default = "5")]
+    seconds: u64,
+    /// lag of replicas in milliseconds (default 20)
+    #[argh(option, default = "20")]
+    lag_ms: u64,
+    /// daemons (default 3)
+    #[argh(option, default = "3")]
+    daemons: u32,
+    /// seed of arrivals and stand-ins (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 /// Measure how state, traffic, processor time and memory grow with size.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "slopes")]
@@ -103,6 +133,7 @@
         LabCommand::Demo(command) => demo(&command),
         LabCommand::Fail(command) => fail(&command),
         LabCommand::Latency(command) => latency(&command),
+        LabCommand::Load(command) => load(&command),
         LabCommand::Slopes(command) => slopes(&command),
     }
 }
@@ -187,6 +218,32 @@
     }
 }
 
+#[tokio::main]
+async fn load(command: &LoadCommand) -> ExitCode {
+    let factors = match command.factor.is_empty() {
+        true => vec![0.7, 1.0, 1.5, 3.0],
+        false => command.factor.clone(),
+    };
+    for factor in factors {
+        let plan = LoadPlan {
+            deployment: Deployment {
+                lag: Duration::from_millis(command.lag_ms),
+                ..Deployment::named(command.deployment)
+            },
+            profile: command.profile,
+            factor,
+            length: Duration::from_secs(command.seconds),
+            daemons: command.daemons,
+            seed: command.seed,
+        };
+        match run_load(&plan).await {
+            Ok(report) => print_json(&report),
+            Err(error) => return not_run(&error),
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 #[tokio::main]
 async fn slopes(command: &SlopesCommand) -> ExitCode {
     match run_slopes(command.seed).await {
--- a/crates/lab/src/upstreams/stand_in_group.rs
+++ b/crates/lab/src/upstreams/stand_in_group.rs
@@ -12,7 +12,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{EngineError, StandInDatabase, StandInSettings};
+use super::{EngineError, StandInDatabase, StandInSettings, port_pool::free_address};
 
 /// Time between looks at a primary that has nothing new.
 const PULL_INTERVAL: Duration = Duration::from_millis(2);
@@ -160,7 +160,8 @@
 }
 
 async fn bind() -> Result<TcpListener, EngineError> {
-    TcpListener::bind("127.0.0.1:0").await.map_err(port_error)
+    let address = free_address().map_err(port_error)?;
+    TcpListener::bind(address).await.map_err(port_error)
 }
 
 fn port_error(error: std::io::Error) -> EngineError {
--- /dev/null
+++ b/crates/lab/tests/graceful_change.rs
@@ -0,0 +1,162 @@
+//! Drains and restarts under load leave no request open and fail none.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hawthornstack_decisions::{control::Intent, outcomes::Outcome};
+use hawthornstack_lab::{
+    cluster::{ClusterPlan, LabCaller, LabCluster},
+    deployments::{Deployment, DeploymentName},
+};
+use tokio_util::sync::CancellationToken;
+
+#[derive(Default)]
+struct Counts {
+    written: AtomicU64,
+    refused: AtomicU64,
+    open: AtomicU64,
+}
+
+async fn start() -> LabCluster {
+    let deployment = Deployment {
+        instances: 1,
+        lag: Duration::from_millis(10),
+        ..Deployment::named(DeploymentName::LoneStar)
+    };
+    let plan = ClusterPlan { deployment, daemons: 3, voters: 3, homes: 3, seed: 11 };
+    let cluster = LabCluster::start(plan).await.unwrap();
+    let address = cluster.caller_addresses()[0];
+    let caller = LabCaller::connect(address, "shiftbook.1", &[]).await.unwrap();
+    caller.simple("CREATE TABLE t (a BIGINT)").await.unwrap();
+    cluster
+}
+
+/// Writes until cancelled; a caller that is told to leave, or that its request
+/// did not run, goes on at the next daemon.
+async fn write(
+    daemons: Vec<SocketAddr>,
+    start: usize,
+    counts: Arc<Counts>,
+    cancel: CancellationToken,
+) {
+    let mut turn = start;
+    while !cancel.is_cancelled() {
+        turn += 1;
+        let daemon = daemons[turn % daemons.len()];
+        let Ok(caller) = LabCaller::connect(daemon, "shiftbook.1", &[]).await else {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        while !cancel.is_cancelled() {
+            match caller.simple("INSERT INTO t VALUES (1)").await {
+                Ok(_) => counts.written.fetch_add(1, Ordering::Relaxed),
+                Err(failure) if failure.outcome == Outcome::DidNotRun => {
+                    counts.refused.fetch_add(1, Ordering::Relaxed);
+                    break;
+                }
+                Err(failure) => {
+                    println!("left open: {}", failure.text);
+                    counts.open.fetch_add(1, Ordering::Relaxed);
+                    break;
+                }
+            };
+        }
+    }
+}
+
+struct Writers {
+    counts: Arc<Counts>,
+    cancel: CancellationToken,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Writers {
+    fn start(cluster: &LabCluster) -> Self {
+        let counts = Arc::new(Counts::default());
+        let cancel = CancellationToken::new();
+        let daemons = cluster.caller_addresses();
+        let tasks = (0..6)
+            .map(|start| {
+                tokio::spawn(write(daemons.clone(), start, counts.clone(), cancel.clone()))
+            })
+            .collect();
+        Self { counts, cancel, tasks }
+    }
+
+    async fn stop(self) -> Arc<Counts> {
+        self.cancel.cancel();
+        for task in self.tasks {
+            task.await.unwrap();
+        }
+        self.counts
+    }
+}
+
+async fn rows(cluster: &LabCluster) -> u64 {
+    let address = cluster.caller_addresses()[0];
+    let caller = LabCaller::connect(address, "shiftbook.1", &[]).await.unwrap();
+    let found = caller.simple("SELECT count(*) FROM t").await.unwrap();
+    found.row[0].as_deref().unwrap().parse().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart() {
+    let mut cluster = start().await;
+    let writers = Writers::start(&cluster);
+    for daemon in 0..3 {
+        cluster.shut_down(daemon).await;
+        cluster.restart(daemon).await.unwrap();
+        cluster.wait_until_serving().await.unwrap();
+    }
+    let counts = writers.stop().await;
+    let written = counts.written.load(Ordering::Relaxed);
+    assert!(written > 0);
+    assert_eq!(counts.open.load(Ordering::Relaxed), 0, "requests were left open");
+    assert_eq!(rows(&cluster).await, written);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_primary() {
+    let cluster = start().await;
+    let writers = Writers::start(&cluster);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let old = cluster.groups[0].primary().unwrap();
+    let drain = Intent::DrainDatabase(old.settings.database.clone());
+    assert_eq!(cluster.operator().carry_out(drain).await.unwrap().code, 0);
+    while cluster.groups[0].primary().is_none_or(|new| new.address == old.address) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let counts = writers.stop().await;
+    let written = counts.written.load(Ordering::Relaxed);
+    assert!(written > 0);
+    assert_eq!(counts.open.load(Ordering::Relaxed), 0, "requests were left open");
+    assert_eq!(counts.refused.load(Ordering::Relaxed), 0, "requests were refused");
+    assert_eq!(rows(&cluster).await, written);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drained_host() {
+    let cluster = start().await;
+    let writers = Writers::start(&cluster);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let drain = Intent::DrainHost(hawthornstack_decisions::identity::HostId(2));
+    assert_eq!(cluster.operator().carry_out(drain).await.unwrap().code, 0);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let counts = writers.stop().await;
+    assert_eq!(counts.open.load(Ordering::Relaxed), 0, "requests were left open");
+    let address = cluster.caller_addresses()[1];
+    let caller = LabCaller::connect(address, "shiftbook.1", &[]).await;
+    let refused = match caller {
+        Ok(caller) => caller.simple("SELECT 1").await.is_err(),
+        Err(_) => true,
+    };
+    assert!(refused, "a drained host takes no callers");
+    assert_eq!(rows(&cluster).await, counts.written.load(Ordering::Relaxed));
+}
