Bound statements by slots, end late requests, keep marks that do not move

A read that came back from its database after its deadline went to the queue, was sent again at once and timed out again; its deadline was only looked at while it stood in the queue. Each round also closed and opened a connection. Further: a queue as long as the deadline serves everybody just before it or after it; and each change of the set of hosts made all named sessions' marks unknown.

Change: a request that comes back late ends at once. Single statements wait in the proxy beyond a database's slots, transactions beyond its connections. A request whose wait would take half its time is refused with the time to come back; one that no database can answer in time is not sent. A running request keeps its connection 250 ms beyond its deadline. The primary helps out with reads only when the wait is long. Marks are dropped only where a host's coming or going changes the keepers; ranks use xxh3, not blake3.

--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -27,6 +27,10 @@
 /// SQLSTATE of a database that does not accept writes.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
+/// Time beyond its deadline for which a running request keeps its connection:
+/// closing it costs the database more than a late answer.
+const RUN_GRACE: Duration = Duration::from_millis(250);
+
 /// What is sent to a database.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum RequestWork<'a> {
@@ -144,6 +148,7 @@
             kind,
             mark: state.mark_source(),
             session: state.named.then(|| state.session.clone()),
+            transaction: false,
             caller: state.user.clone(),
             forwarded: state.forwarded,
             deadline: self.context.clock.now() + state.timeout,
@@ -206,7 +211,7 @@
                             handle.report(ExecutionReport::RolledBack);
                             return RunEnd::Refused(ResultCode::Cancelled);
                         }
-                        performed = timeout_at(deadline, perform(work, &mut connection, !aged)) => {
+                        performed = timeout_at(deadline + RUN_GRACE, perform(work, &mut connection, !aged)) => {
                             performed.unwrap_or(Err(UpstreamError::Late))
                         }
                     };
@@ -229,7 +234,7 @@
         read_only: bool,
     ) -> Result<OpenTransaction, ResultCode> {
         let kind = state.request_kind(!read_only);
-        let arrival = self.arrival(state, kind);
+        let arrival = RequestArrival { transaction: true, ..self.arrival(state, kind) };
         let mut handle = RequestHandle::arrive(&self.context.host, arrival);
         loop {
             match handle.next().await {
--- a/crates/decisions/src/directory/database_view.rs
+++ b/crates/decisions/src/directory/database_view.rs
@@ -34,6 +34,8 @@
     pub share: u32,
     /// Connections in use.
     pub in_use: u32,
+    /// Statements sent outside transactions and not answered yet.
+    pub statements: u32,
     /// Failures since the last success.
     pub failures: u32,
     ejected_until: Moment,
@@ -48,6 +50,7 @@
             observed: None,
             share,
             in_use: 0,
+            statements: 0,
             failures: 0,
             ejected_until: Moment::ZERO,
             service_time: INITIAL_SERVICE_TIME,
@@ -59,9 +62,17 @@
         self.observed.as_ref().is_some_and(|o| o.status.covers(mark))
     }
 
-    /// True if a connection is free and the database is not ejected.
-    pub fn is_available(&self, now: Moment) -> bool {
-        self.in_use < self.share && !self.is_ejected(now)
+    /// True if a connection is free and the database is not ejected. Single
+    /// statements are held back beyond its slots, so that they wait here, where
+    /// they take turns, and not in the database.
+    pub fn is_available(&self, now: Moment, transaction: bool) -> bool {
+        let has_slot = transaction || self.statements < self.record.slots;
+        self.in_use < self.share && has_slot && !self.is_ejected(now)
+    }
+
+    /// True if less than half of its slots are in use by this host.
+    pub fn is_at_ease(&self) -> bool {
+        self.statements * 2 < self.record.slots
     }
 
     /// True if the database gets no work because it kept failing.
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -4,11 +4,11 @@
 use crate::{
     agreement::{AgreementEffect, AgreementEvent, EntryPayload},
     clock::Moment,
-    control::{ControlCommand, ControlState},
+    control::{ControlCommand, ControlState, HostRecord},
     directory::DatabaseView,
     identity::{DatabaseName, GroupName, HostId, RequestId},
     outcomes::ResultCode,
-    sessions::rank_hosts,
+    sessions::{MarkStore, rank_hosts},
 };
 
 /// Commands kept for subscribers that are a little behind.
@@ -104,16 +104,19 @@
         if index != self.control.applied + 1 {
             return;
         }
+        let hosts_version = self.control.hosts_version;
         self.control.apply(index, &command);
         self.recent.push_back(command.clone());
         if self.recent.len() > RECENT_COMMANDS {
             self.recent.pop_front();
         }
         match &command {
-            ControlCommand::LeaderElected
-            | ControlCommand::HostJoined(_)
-            | ControlCommand::HostLeft(_)
-            | ControlCommand::PlanMade(_) => {}
+            ControlCommand::LeaderElected | ControlCommand::PlanMade(_) => {}
+            ControlCommand::HostJoined(HostRecord { id, .. }) | ControlCommand::HostLeft(id) => {
+                if self.control.hosts_version != hosts_version {
+                    self.marks.forget_moved(*id);
+                }
+            }
             ControlCommand::GroupFormed(record) => self.refresh_group(now, &record.name),
             ControlCommand::MemberJoined(group, _)
             | ControlCommand::MemberCounts(group, _)
@@ -136,6 +139,8 @@
         self.subscription.heard_at = now;
         if state.applied > self.control.applied {
             self.control = state;
+            // Which hosts came and went in between is not known.
+            self.marks = MarkStore::default();
             self.recent.clear();
             self.refresh_groups(now);
         }
--- a/crates/decisions/src/host/group_view.rs
+++ b/crates/decisions/src/host/group_view.rs
@@ -115,7 +115,13 @@
 
     /// True if any database has a free connection.
     pub fn has_room(&self, now: Moment) -> bool {
-        self.databases.values().any(|view| view.is_available(now))
+        self.databases.values().any(|view| view.is_available(now, true))
+    }
+
+    /// Mean time of an answer by the fastest database.
+    pub fn fastest_service(&self) -> Duration {
+        let times = self.databases.values().map(DatabaseView::service_time);
+        times.min().unwrap_or(Duration::ZERO)
     }
 
     /// Time that a request which arrives now would wait, from the requests
@@ -126,7 +132,10 @@
             false => view.record.takes_work(),
         });
         let pace: f64 = serving
-            .map(|view| f64::from(view.share) / view.service_time().as_secs_f64().max(1e-6))
+            .map(|view| {
+                f64::from(view.share.min(view.record.slots))
+                    / view.service_time().as_secs_f64().max(1e-6)
+            })
             .sum();
         let ahead = if is_write { self.writes.len() } else { self.waiting() };
         match pace > 0.0 {
--- a/crates/decisions/src/host/mark_flow.rs
+++ b/crates/decisions/src/host/mark_flow.rs
@@ -59,21 +59,16 @@
         }
     }
 
-    fn find_mark(&mut self, query: &MarkQuery) -> Option<LogPosition> {
-        self.check_marks_version();
-        if query.hosts_version != self.marks_version {
+    fn find_mark(&self, query: &MarkQuery) -> Option<LogPosition> {
+        if query.hosts_version != self.control.hosts_version {
             return None;
         }
         self.marks.find(&query.session, &query.group)
     }
 
-    /// Marks kept under another set of hosts may be old: a newer one may have
-    /// gone to other keepers.
-    fn check_marks_version(&mut self) {
-        if self.marks_version != self.control.hosts_version {
-            self.marks_version = self.control.hosts_version;
-            self.marks = Default::default();
-        }
+    fn keep_mark(&mut self, stored: StoredMark) {
+        let keepers = self.keepers(&stored.session);
+        self.marks.raise(stored, &keepers);
     }
 
     pub(super) fn mark_asked(&mut self, from: HostId, query: MarkQuery) {
@@ -123,8 +118,7 @@
         let hosts_version = self.control.hosts_version;
         for keeper in self.keepers(&stored.session) {
             if keeper == self.settings.id() {
-                self.check_marks_version();
-                self.marks.raise(stored.clone());
+                self.keep_mark(stored.clone());
                 self.mark_stored(now, request);
             } else {
                 let stored = stored.clone();
@@ -140,9 +134,8 @@
         stored: StoredMark,
         hosts_version: u64,
     ) {
-        self.check_marks_version();
-        if hosts_version == self.marks_version {
-            self.marks.raise(stored);
+        if hosts_version == self.control.hosts_version {
+            self.keep_mark(stored);
             self.send(from, PeerMessage::MarkStored { request });
         }
     }
--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -17,6 +17,8 @@
 
 /// Shortest time that a committed write waits for a majority.
 const MAJORITY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Expected wait of reads from which on the primary helps out.
+const CROWDED_WAIT: Duration = Duration::from_millis(20);
 /// Waiting reads looked at in one go.
 const READ_SCAN: usize = 64;
 
@@ -83,10 +85,17 @@
         }
     }
 
-    /// True if the request could only be refused later, at its deadline.
+    /// True if waiting would use up more than half of the request's time. A
+    /// longer queue would serve everybody just before the deadline, or after.
     fn would_be_late(&self, now: Moment, group: &GroupView, arrival: &RequestArrival) -> bool {
         let wait = group.expected_wait(arrival.kind == RequestKind::Write);
-        now + wait > arrival.deadline
+        now + wait * 2 > arrival.deadline
+    }
+
+    /// True if no database can be expected to answer before the deadline.
+    fn is_hopeless(&self, now: Moment, group: &GroupView, request: RequestId) -> bool {
+        let record = self.requests.get(&request);
+        record.is_some_and(|record| now + group.fastest_service() > record.arrival.deadline)
     }
 
     /// Puts a request whose mark is settled into its group's queue.
@@ -99,6 +108,11 @@
         let deadline = record.arrival.deadline;
         let is_write = record.arrival.kind == RequestKind::Write;
         let caller = record.arrival.caller.clone();
+        if deadline <= now {
+            // It came back from a database too late to be sent again.
+            let result = self.late_result(now, request);
+            return self.conclude(now, request, result, None);
+        }
         let Some(group) = self.groups.get_mut(&name) else {
             return self.conclude(now, request, ResultCode::NoDatabase, None);
         };
@@ -136,6 +150,12 @@
             true => group.writes.upcoming(1),
             false => group.reads.upcoming(READ_SCAN),
         };
+        let hopeless = upcoming.iter().find(|request| self.is_hopeless(now, group, **request));
+        if let Some(request) = hopeless.copied() {
+            let result = self.late_result(now, request);
+            self.conclude(now, request, result, None);
+            return true;
+        }
         let chosen = upcoming
             .into_iter()
             .find_map(|request| Some((request, self.choose(now, name, request)?)));
@@ -159,6 +179,8 @@
         let query = RouteQuery {
             now,
             kind: record.arrival.kind,
+            crowded: group.expected_wait(false) > CROWDED_WAIT,
+            transaction: record.arrival.transaction,
             mark: record.mark,
             primary: group.confirmed_primary(),
             term: group.record.term,
@@ -185,6 +207,8 @@
             return;
         };
         view.in_use += 1;
+        let transaction = self.requests.get(&request).is_some_and(|r| r.arrival.transaction);
+        view.statements += u32::from(!transaction);
         let address = view.record.address;
         let is_primary = database == group.record.primary;
         let term = group.record.term;
@@ -203,7 +227,8 @@
         };
         let name = record.arrival.group.clone();
         let kind = record.arrival.kind;
-        self.release(now, &name, &database, since, report);
+        let transaction = record.arrival.transaction;
+        self.release(now, &name, &database, since, report, transaction);
         match report {
             ExecutionReport::Read(position) => {
                 self.read_done(now, request, &name, &database, term, position);
@@ -228,13 +253,20 @@
         database: &DatabaseName,
         since: Moment,
         report: ExecutionReport,
+        transaction: bool,
     ) {
         let view = self.groups.get_mut(name).and_then(|g| g.databases.get_mut(database));
         let Some(view) = view else {
             return;
         };
         view.in_use = view.in_use.saturating_sub(1);
+        view.statements = view.statements.saturating_sub(u32::from(!transaction));
         match report {
+            // How long a transaction lasts is the caller's doing.
+            ExecutionReport::Read(_)
+            | ExecutionReport::Written(_)
+            | ExecutionReport::RolledBack
+                if transaction => {}
             ExecutionReport::Read(_)
             | ExecutionReport::Written(_)
             | ExecutionReport::RolledBack => {
--- a/crates/decisions/src/requests/request_arrival.rs
+++ b/crates/decisions/src/requests/request_arrival.rs
@@ -40,6 +40,8 @@
     pub mark: MarkSource,
     /// The session under which marks are kept, if the caller named one.
     pub session: Option<SessionId>,
+    /// It opens a transaction, which holds its connection between statements.
+    pub transaction: bool,
     /// Who sends it; waiting requests of different names take turns.
     pub caller: Arc<str>,
     /// Another host forwarded it, so that it is served here or refused.
--- a/crates/decisions/src/routing/read_choice.rs
+++ b/crates/decisions/src/routing/read_choice.rs
@@ -16,6 +16,10 @@
     pub now: Moment,
     /// Which databases may serve it.
     pub kind: RequestKind,
+    /// Reads have to wait so long that the primary may help out.
+    pub crowded: bool,
+    /// It opens a transaction.
+    pub transaction: bool,
     /// The mark that the database must hold; `None` asks for the primary.
     pub mark: Option<LogPosition>,
     /// The confirmed primary, or `None` while it is being replaced.
@@ -58,7 +62,7 @@
         replica_qualifies = true;
         let cost = cost(query, view);
         let better = replica.is_none_or(|(best, _)| cost < best);
-        if view.is_available(query.now) && better {
+        if view.is_available(query.now, query.transaction) && better {
             replica = Some((cost, view));
         }
     }
@@ -66,10 +70,11 @@
         return DatabaseChoice::Use(view.record.database.clone());
     }
     // A read for which replicas are merely busy waits for them, unless the
-    // primary is idle.
+    // wait is long and the primary has slots to spare.
     let usable = primary.filter(|view| {
-        let idle = view.in_use == 0 || !replica_qualifies;
-        view.is_available(query.now) && idle
+        let spares = query.crowded && view.is_at_ease();
+        let spares = spares || !replica_qualifies;
+        view.is_available(query.now, query.transaction) && spares
     });
     match usable {
         Some(view) => DatabaseChoice::Use(view.record.database.clone()),
--- a/crates/decisions/src/sessions/keepers.rs
+++ b/crates/decisions/src/sessions/keepers.rs
@@ -1,14 +1,27 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::identity::{HostId, SessionId};
 
 /// Hosts that keep each session's mark.
 pub const KEEPER_COUNT: usize = 2;
 
+/// A host's rank for a key by rendezvous hash; the highest win.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostScore(u64);
+
+impl HostScore {
+    /// The score of a host for `key`.
+    pub fn of(key: &[u8], host: HostId) -> Self {
+        Self(xxh3_64_with_seed(key, u64::from(host.0)))
+    }
+}
+
 /// Orders hosts by rendezvous hash for `key`, best first.
 ///
 /// Adding or removing a host moves only the keys that it wins or held.
 pub fn rank_hosts(key: &[u8], hosts: impl IntoIterator<Item = HostId>) -> Vec<HostId> {
-    let mut ranked: Vec<(u64, HostId)> =
-        hosts.into_iter().map(|host| (score(key, host), host)).collect();
+    let mut ranked: Vec<(HostScore, HostId)> =
+        hosts.into_iter().map(|host| (HostScore::of(key, host), host)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.into_iter().map(|(_, host)| host).collect()
 }
@@ -22,12 +35,3 @@
     ranked.truncate(KEEPER_COUNT);
     ranked
 }
-
-fn score(key: &[u8], host: HostId) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(key);
-    hasher.update(&host.0.to_be_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_be_bytes(first)
-}
--- a/crates/decisions/src/sessions/session_token.rs
+++ b/crates/decisions/src/sessions/session_token.rs
@@ -89,7 +89,7 @@
         };
         let expected = key.tag(payload);
         let mut found = [0; TAG_BYTES];
-        if tag.len() != 2 * TAG_BYTES || !tag.is_ascii() {
+        if tag.len() != 2 * TAG_BYTES || !tag.bytes().all(|digit| digit.is_ascii_hexdigit()) {
             return Err(TokenError::Malformed);
         }
         for (index, byte) in found.iter_mut().enumerate() {
--- a/crates/decisions/tests/branch_cover.rs
+++ b/crates/decisions/tests/branch_cover.rs
@@ -1,7 +1,7 @@
 //! Which log positions a database holds, over changes of primary.
 
 use hawthornstack_decisions::positions::{BranchHistory, BranchStart, LogPosition};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn history(starts: &[(u64, u64)]) -> BranchHistory {
     BranchHistory::new(
@@ -63,7 +63,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     /// `covers` agrees with looking for the entry in the log itself.
     #[test]
--- a/crates/decisions/tests/fair_queue.rs
+++ b/crates/decisions/tests/fair_queue.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use hawthornstack_decisions::{identity::RequestId, requests::FairQueue};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn serve_next(queue: &mut FairQueue, owners: &BTreeMap<u64, Arc<str>>) -> Option<Arc<str>> {
     let next = *queue.upcoming(1).first()?;
@@ -28,7 +28,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     /// While lanes are not empty, no caller is served more than one request
     /// more than another; nothing is lost or served twice.
--- a/crates/decisions/tests/schedule/schedule_run.rs
+++ b/crates/decisions/tests/schedule/schedule_run.rs
@@ -51,6 +51,9 @@
     ClaimAhead,
     /// Databases report one branch for all terms.
     FlattenBranches,
+    /// Reads lose their connection as soon as they are sent past their
+    /// deadline, as a caller's task does that has no time left.
+    SlowReads,
     /// A disk forgets what it was told to sync.
     ForgetSyncs,
 }
@@ -63,6 +66,12 @@
         message: PeerMessage,
         epoch: u64,
     },
+    Forge {
+        from: usize,
+        to: usize,
+        term: u64,
+        epoch: u64,
+    },
     Persisted {
         host: usize,
         number: u64,
@@ -369,7 +378,7 @@
                 {
                     // A slow order keeps a replica with the old primary long
                     // enough for the missing fence to show.
-                    delay += 200 * MILLI;
+                    delay += 400 * MILLI;
                 }
                 self.after(delay, Action::Order { host, database, order, epoch });
             }
@@ -391,8 +400,7 @@
 
     fn forge_fences(&mut self, to: usize, term: u64, epoch: u64) {
         for from in 0..self.hosts.len() {
-            let message = PeerMessage::TermFenced { group: group(), term };
-            self.after(1, Action::Deliver { from, to, message, epoch });
+            self.after(1, Action::Forge { from, to, term, epoch });
         }
     }
 
@@ -430,6 +438,10 @@
                     self.step(to, HostEvent::Peer(HostId(from as u32), message));
                 }
             }
+            Action::Forge { from, to, term, .. } => {
+                let message = PeerMessage::TermFenced { group: group(), term };
+                self.step(to, HostEvent::Peer(HostId(from as u32), message));
+            }
             Action::Persisted { host, number, records, .. } => {
                 if self.sabotage != Sabotage::ForgetSyncs {
                     self.hosts[host].journal.extend(records);
@@ -562,6 +574,14 @@
             return;
         };
         let CallerOperation { session, number, .. } = self.operations[operation].clone();
+        self.verdict.dispatches += 1;
+        if self.sabotage == Sabotage::SlowReads && number.is_none() {
+            let report = ExecutionReport::Lost;
+            let used = self.now - self.operations[operation].sent_at;
+            let delay = (2_000 * MILLI).saturating_sub(used).max(500);
+            let failed = Action::Executed { host, request, report, found: 0, epoch };
+            return self.after(delay, failed);
+        }
         let fake = &mut self.databases[database];
         if fake.stopped {
             let report = ExecutionReport::NotRun;
@@ -633,7 +653,11 @@
         if self.now >= CALLERS_UNTIL {
             return;
         }
-        let host = self.rng.random_range(0..self.hosts.len());
+        // Roaming callers all end up waiting on the other side of a split.
+        let host = match self.sabotage {
+            Sabotage::NoFences => session % self.hosts.len(),
+            _ => self.rng.random_range(0..self.hosts.len()),
+        };
         let think = self.rng.random_range(1_000..20 * MILLI);
         if self.hosts[host].state.is_none() {
             return self.after(think, Action::NextOperation(session));
@@ -665,6 +689,7 @@
             kind,
             mark: MarkSource::Keepers(LogPosition::default()),
             session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            transaction: false,
             caller: Arc::from(format!("caller-{session}")),
             forwarded: false,
             deadline: self.moment(host) + Duration::from_secs(2),
@@ -696,6 +721,7 @@
             kind,
             mark: MarkSource::Keepers(LogPosition::default()),
             session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            transaction: false,
             caller: Arc::from(format!("caller-{session}")),
             forwarded: true,
             deadline: self.moment(home) + Duration::from_secs(2),
@@ -802,7 +828,10 @@
         let hosts = self.hosts.len();
         let host = self.rng.random_range(0..hosts);
         let database = self.rng.random_range(0..3);
-        match self.rng.random_range(0..12) {
+        let kind = self.rng.random_range(0..12);
+        // A missing fence shows where one host stays with the old primary.
+        let kind = if self.sabotage == Sabotage::NoFences { 10 } else { kind };
+        match kind {
             0 => self.crash(host, length, false),
             1 => self.crash(host, length, self.is_repaired()),
             2 => {
@@ -956,6 +985,7 @@
     fn epoch(&self) -> Option<(usize, u64)> {
         match self {
             Self::Deliver { to: host, epoch, .. }
+            | Self::Forge { to: host, epoch, .. }
             | Self::Persisted { host, epoch, .. }
             | Self::AskReport { host, epoch, .. }
             | Self::Reported { host, epoch, .. }
--- a/crates/decisions/tests/schedule/schedule_verdict.rs
+++ b/crates/decisions/tests/schedule/schedule_verdict.rs
@@ -23,6 +23,8 @@
     pub broken: Vec<String>,
     pub acknowledged: usize,
     pub changes_of_primary: u64,
+    pub operations: usize,
+    pub dispatches: usize,
 }
 
 impl ScheduleVerdict {
@@ -57,6 +59,7 @@
         let ran = |o: &&CallerOperation| o.number.is_some() && o.outcome == Outcome::Ran;
         self.acknowledged = operations.iter().filter(ran).count();
         self.changes_of_primary = primary.term - 1;
+        self.operations = operations.len();
     }
 
     fn check_read(&mut self, operations: &[CallerOperation], read: &CallerOperation, index: usize) {
--- a/crates/decisions/tests/session_tokens.rs
+++ b/crates/decisions/tests/session_tokens.rs
@@ -5,7 +5,7 @@
     positions::LogPosition,
     sessions::{SessionToken, TokenError, TokenKey},
 };
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn token(mark: LogPosition) -> SessionToken {
     SessionToken {
@@ -34,8 +34,22 @@
     assert_eq!(SessionToken::decode(&text, &key, &other_group), Err(TokenError::OtherGroup));
 }
 
+/// A sign is no hexadecimal digit, though number parsers take one.
+#[test]
+fn sign_refused() {
+    let key = TokenKey::derive("a secret of this test");
+    let group = GroupName::new("shiftbook.1").unwrap();
+    let signed = (1..2_000).map(|offset| token(LogPosition::new(1, offset)).encode(&key));
+    let (payload, tag) = signed
+        .filter_map(|text| text.rsplit_once('~').map(|(a, b)| (a.to_owned(), b.to_owned())))
+        .find(|(_, tag)| tag.starts_with('0'))
+        .unwrap();
+    let changed = format!("{payload}~+{}", &tag[1..]);
+    assert_eq!(SessionToken::decode(&changed, &key, &group), Err(TokenError::Malformed));
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     #[test]
     fn any_text_refused(text in "\\PC{0,300}") {
--- a/crates/decisions/tests/statement_classes.rs
+++ b/crates/decisions/tests/statement_classes.rs
@@ -1,7 +1,7 @@
 //! Telling reads from writes, and reading callers' settings.
 
 use hawthornstack_decisions::statements::{CallerSetting, StatementClass, classify, read_hints};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use std::time::Duration;
 
 #[test]
@@ -83,7 +83,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     /// No text makes the reader panic, and none that names a writing verb
     /// counts as a read.
