Say goodbye to control, retire homes without open requests, skip silent keepers

Cause: for a minute after a daemon had gone, each read of a named session that it kept marks for waited 50 ms and then went to the primary (p99 of the demo 77 ms). Telling control at once moved the homes, and a rolling restart then left 12 requests open: a host that was no home any more dropped its view of the group with the writes that waited for a majority.

Change: a daemon that shuts down says so with its lease request; control forgets it and moves its homes. A replaced home keeps its view until what runs there has ended and hands what waits to the homes of now. Connections are split with one spare part, so that a home and its successor together stay within the limit. A keeper that did not answer is not waited for during 2 s; a host without lease is forgotten after 5 s (60 s before), which now costs only the marks it kept. The home's flow has a module of its own.

--- a/crates/daemon/src/kernel/daemon_kernel.rs
+++ b/crates/daemon/src/kernel/daemon_kernel.rs
@@ -31,6 +31,7 @@
 /// A running daemon.
 pub struct DaemonKernel {
     callers: SocketAddr,
+    host: ActorRef<HostMessage>,
     services: Vec<ActorCell>,
     tasks: TaskTracker,
     closing: CancellationToken,
@@ -122,6 +123,7 @@
             let serving = axum::serve(operators, routes);
             let _ = serving.with_graceful_shutdown(stopped.cancelled_owned()).await;
         });
+        let kept_host = host.clone();
         let listener = CallerListener {
             listener: callers,
             context: CallerContext {
@@ -141,7 +143,15 @@
         };
         tokio::spawn(listener.run());
         log::info!(target: "kernel", "Host {me} accepts callers at {callers_address}.");
-        Ok(Self { callers: callers_address, services, tasks, closing, unhealthy, cancel })
+        Ok(Self {
+            callers: callers_address,
+            host: kept_host,
+            services,
+            tasks,
+            closing,
+            unhealthy,
+            cancel,
+        })
     }
 
     /// Where callers are accepted.
@@ -154,6 +164,7 @@
     pub async fn shut_down(self) {
         log::info!(target: "kernel", "The daemon shuts down.");
         self.unhealthy.cancel();
+        let _ = self.host.send_message(HostMessage::Event(HostEvent::Leaving));
         tokio::time::sleep(HEALTH_NOTICE).await;
         self.closing.cancel();
         self.tasks.close();
--- a/crates/decisions/src/control/group_record.rs
+++ b/crates/decisions/src/control/group_record.rs
@@ -82,7 +82,8 @@
     pub members: BTreeMap<DatabaseName, MemberRecord>,
     /// Hosts that hold connections to the group's databases.
     pub homes: Vec<HostId>,
-    /// Parts that each database's connections are split into, one a home.
+    /// Parts that each database's connections are split into: one a home, and
+    /// one for a home that is being replaced.
     pub home_shares: u32,
 }
 
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -1,13 +1,11 @@
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
-use super::{GroupView, HostEffect, HostState, PeerMessage, host_state::RequestDeadline};
+use super::{HostEffect, HostState, PeerMessage, host_state::RequestDeadline};
 use crate::{
     agreement::{AgreementEffect, AgreementEvent, EntryPayload},
     clock::Moment,
     control::{ControlCommand, ControlState, HostRecord},
-    directory::DatabaseView,
-    identity::{DatabaseName, GroupName, HostId, RequestId},
-    outcomes::ResultCode,
+    identity::{HostId, RequestId},
     sessions::{MarkStore, rank_hosts},
 };
 
@@ -146,107 +144,6 @@
         }
     }
 
-    /// Tells the daemon when an operator drains this host or takes it back.
-    fn refresh_draining(&mut self) {
-        let record = self.control.hosts.get(&self.settings.id());
-        let draining = record.is_some_and(|record| record.draining);
-        if draining != self.draining {
-            self.draining = draining;
-            self.effects.push(HostEffect::Draining(draining));
-        }
-    }
-
-    pub(super) fn refresh_groups(&mut self, now: Moment) {
-        self.refresh_draining();
-        let names: BTreeSet<GroupName> =
-            self.control.groups.keys().chain(self.groups.keys()).cloned().collect();
-        for name in names {
-            self.refresh_group(now, &name);
-        }
-    }
-
-    /// Brings this home's view of a group in line with the configuration.
-    fn refresh_group(&mut self, now: Moment, name: &GroupName) {
-        let me = self.settings.id();
-        let record = self
-            .control
-            .groups
-            .get(name)
-            .filter(|record| record.homes.contains(&me) && self.control.is_declared(name));
-        let Some(record) = record.cloned() else {
-            return self.leave_group(now, name);
-        };
-        let max_waiting =
-            self.control.declaration_of(name).map_or(0, |declared| declared.max_waiting);
-        let view =
-            self.groups.entry(name.clone()).or_insert_with(|| GroupView::new(now, record.clone()));
-        let new_term = view.record.term != record.term;
-        let phase_changed = view.record.phase != record.phase;
-        view.record = record;
-        view.max_waiting = max_waiting as usize;
-        if new_term {
-            view.samples.clear();
-            view.primary_heard_at = now;
-            view.primary_failures = 0;
-            view.majority_moved_at = now;
-        }
-        if phase_changed {
-            view.leader_told_at = Moment::ZERO;
-        }
-        self.refresh_databases(name);
-        self.tend_group(now, name);
-        self.pump(now, name);
-        self.confirm_writes(now, name);
-    }
-
-    fn refresh_databases(&mut self, name: &GroupName) {
-        let Some(view) = self.groups.get_mut(name) else {
-            return;
-        };
-        let record = &view.record;
-        for member in record.members.values() {
-            let wanted = member.counts() || member.takes_work();
-            let share = record.share_of(member);
-            match view.databases.get_mut(&member.database) {
-                Some(database) if wanted => {
-                    database.share = share;
-                    database.record = member.clone();
-                }
-                Some(_) => {
-                    view.databases.remove(&member.database);
-                    self.database_groups.remove(&member.database);
-                    self.effects.push(HostEffect::Unwatch(member.database.clone()));
-                }
-                None if wanted => {
-                    let database = DatabaseView::new(member.clone(), share);
-                    view.databases.insert(member.database.clone(), database);
-                    self.database_groups.insert(member.database.clone(), name.clone());
-                    self.effects.push(HostEffect::Watch {
-                        database: member.database.clone(),
-                        address: member.address,
-                    });
-                }
-                None => {}
-            }
-        }
-    }
-
-    /// This host is no longer a home: waiting requests are refused, running
-    /// ones finish.
-    fn leave_group(&mut self, now: Moment, name: &GroupName) {
-        let Some(view) = self.groups.remove(name) else {
-            return;
-        };
-        for request in view.writes.iter().chain(view.reads.iter()) {
-            self.conclude(now, request, ResultCode::NoDatabase, None);
-        }
-        let databases: Vec<DatabaseName> = view.databases.into_keys().collect();
-        for database in databases {
-            self.database_groups.remove(&database);
-            self.effects.push(HostEffect::Unwatch(database));
-        }
-    }
-
     // Distribution to hosts that do not vote.
 
     pub(super) fn tend_subscription(&mut self, now: Moment) {
--- a/crates/decisions/src/host/group_view.rs
+++ b/crates/decisions/src/host/group_view.rs
@@ -26,6 +26,8 @@
 pub struct GroupView {
     /// The committed record, as last applied here.
     pub record: GroupRecord,
+    /// Other homes took this host's place; it only finishes what runs.
+    pub retiring: bool,
     /// The databases that may be used or watched.
     pub databases: BTreeMap<DatabaseName, DatabaseView>,
     /// What the primary was seen to hold.
@@ -57,6 +59,7 @@
     pub fn new(now: Moment, record: GroupRecord) -> Self {
         Self {
             record,
+            retiring: false,
             databases: BTreeMap::new(),
             samples: PrimarySamples::default(),
             writes: FairQueue::default(),
--- a/crates/decisions/src/host/host_event.rs
+++ b/crates/decisions/src/host/host_event.rs
@@ -27,6 +27,8 @@
 pub enum HostEvent {
     /// Time passed.
     Tick,
+    /// This host is about to shut down.
+    Leaving,
     /// Another host sent a message.
     Peer(HostId, PeerMessage),
     /// Journal records up to this number are synced.
--- a/crates/decisions/src/host/host_state.rs
+++ b/crates/decisions/src/host/host_state.rs
@@ -27,6 +27,8 @@
     pub(super) requests: BTreeMap<RequestId, RequestRecord>,
     pub(super) deadlines: BTreeSet<RequestDeadline>,
     pub(super) marks: MarkStore,
+    /// Keepers that did not answer, and until when they are not waited for.
+    pub(super) silent_keepers: BTreeMap<HostId, Moment>,
     pub(super) lease: HeldLease,
     pub(super) lease_due: Moment,
     pub(super) lease_asked: u32,
@@ -36,6 +38,7 @@
     pub(super) recent: VecDeque<ControlCommand>,
     pub(super) questions: Vec<PendingQuestion>,
     pub(super) draining: bool,
+    pub(super) leaving: bool,
     pub(super) effects: Vec<HostEffect>,
 }
 
@@ -85,6 +88,7 @@
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             marks: MarkStore::default(),
+            silent_keepers: BTreeMap::new(),
             lease: HeldLease::default(),
             lease_due: now,
             lease_asked: 0,
@@ -94,6 +98,7 @@
             recent: VecDeque::new(),
             questions: Vec::new(),
             draining: false,
+            leaving: false,
             effects: Vec::new(),
         };
         host.refresh_groups(now);
@@ -104,6 +109,7 @@
     pub fn step(&mut self, now: Moment, event: HostEvent) -> Vec<HostEffect> {
         match event {
             HostEvent::Tick => self.tick(now),
+            HostEvent::Leaving => self.leave(now),
             HostEvent::Peer(from, message) => self.receive(now, from, message),
             HostEvent::Persisted(number) => {
                 self.step_agreement(now, AgreementEvent::Persisted(number));
--- a/crates/decisions/src/host/leader_duty.rs
+++ b/crates/decisions/src/host/leader_duty.rs
@@ -23,7 +23,7 @@
 /// Time without a lease after which a home is replaced.
 const HOME_REPLACEMENT: Duration = Duration::from_secs(3);
 /// Time without a lease after which a host is forgotten.
-const HOST_RETENTION: Duration = Duration::from_secs(60);
+const HOST_RETENTION: Duration = Duration::from_secs(5);
 /// Time between looks at homes and hosts.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -387,7 +387,7 @@
             phase: GroupPhase::Steady,
             members,
             homes,
-            home_shares: self.settings.homes_per_group as u32,
+            home_shares: self.settings.homes_per_group as u32 + 1,
         };
         self.propose_once(now, ControlCommand::GroupFormed(record));
     }
--- a/crates/decisions/src/host/lease_flow.rs
+++ b/crates/decisions/src/host/lease_flow.rs
@@ -25,6 +25,7 @@
             record: self.settings.record.clone(),
             sent_at: now,
             applied: self.control.applied,
+            leaving: self.leaving,
         };
         self.send(to, PeerMessage::LeaseRequest(request));
     }
@@ -52,7 +53,8 @@
         let duration = duty.leases.grant(now, me);
         self.lease.extend(now, duration, required);
         self.lease_asked = 0;
-        self.note_host(now, record);
+        let leaving = self.leaving;
+        self.note_host(now, record, leaving);
     }
 
     pub(super) fn lease_requested(&mut self, now: Moment, from: HostId, request: LeaseRequest) {
@@ -65,7 +67,7 @@
         let duration = duty.leases.grant(now, from);
         let grant = LeaseGrant { sent_at: request.sent_at, duration, required_index: required };
         self.send(from, PeerMessage::LeaseGrant(grant));
-        self.note_host(now, request.record);
+        self.note_host(now, request.record, request.leaving);
     }
 
     pub(super) fn lease_granted(&mut self, now: Moment, from: HostId, grant: &LeaseGrant) {
@@ -83,9 +85,23 @@
         }
     }
 
-    /// Commits a host's facts when they are new.
-    fn note_host(&mut self, now: Moment, record: HostRecord) {
+    /// Tells control at once that this host leaves, so that its homes move and
+    /// nobody waits for it as a keeper.
+    pub(super) fn leave(&mut self, now: Moment) {
+        self.leaving = true;
+        self.lease_due = now;
+        self.tend_lease(now);
+    }
+
+    /// Commits a host's facts when they are new, or that it leaves.
+    fn note_host(&mut self, now: Moment, record: HostRecord, leaving: bool) {
         let known = self.control.hosts.get(&record.id);
+        if leaving {
+            if known.is_some() {
+                self.propose_once(now, ControlCommand::HostLeft(record.id));
+            }
+            return;
+        }
         let same = known.is_some_and(|known| {
             HostRecord { draining: known.draining, ..record.clone() } == *known
         });
--- a/crates/decisions/src/host/mark_flow.rs
+++ b/crates/decisions/src/host/mark_flow.rs
@@ -12,6 +12,8 @@
 
 /// Time that keepers get to answer before the primary is asked instead.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time for which a keeper that did not answer is not waited for.
+const SILENCE_MEMORY: Duration = Duration::from_secs(2);
 /// Time that keepers get to store a mark.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -42,6 +44,8 @@
             };
         }
         self.set_deadline(request, until);
+        self.silent_keepers.retain(|_, until| *until > now);
+        let silent = keepers.iter().any(|keeper| self.silent_keepers.contains_key(keeper));
         let hosts_version = self.control.hosts_version;
         for keeper in keepers {
             let query = MarkQuery {
@@ -57,6 +61,31 @@
                 self.send(keeper, PeerMessage::MarkQuery(query));
             }
         }
+        if silent {
+            self.skip_lookup(now, request);
+        }
+    }
+
+    /// Notes the keepers that a lookup waited for in vain. Until they answer
+    /// again, or some time has passed, nobody waits for them.
+    pub(super) fn note_late_lookup(&mut self, now: Moment, request: RequestId) {
+        let phase = self.requests.get(&request).map(|record| record.phase.clone());
+        if let Some(RequestPhase::LookingUp { waiting, until, .. }) = phase
+            && until <= now
+        {
+            let until = now + SILENCE_MEMORY;
+            self.silent_keepers.extend(waiting.into_iter().map(|keeper| (keeper, until)));
+        }
+    }
+
+    /// Ends a lookup that cannot succeed: the primary is asked.
+    fn skip_lookup(&mut self, now: Moment, request: RequestId) {
+        if let Some(record) = self.requests.get_mut(&request)
+            && matches!(record.phase, RequestPhase::LookingUp { .. })
+        {
+            record.mark = None;
+            self.enqueue(now, request);
+        }
     }
 
     fn find_mark(&self, query: &MarkQuery) -> Option<LogPosition> {
@@ -78,6 +107,7 @@
     }
 
     pub(super) fn mark_answered(&mut self, now: Moment, from: HostId, answer: MarkAnswer) {
+        self.silent_keepers.remove(&from);
         let request = answer.request;
         let Some(record) = self.requests.get_mut(&request) else {
             return;
--- a/crates/decisions/src/host/mod.rs
+++ b/crates/decisions/src/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod control_flow;
 mod group_view;
+mod home_flow;
 mod host_effect;
 mod host_event;
 mod host_settings;
--- a/crates/decisions/src/host/peer_message.rs
+++ b/crates/decisions/src/host/peer_message.rs
@@ -22,6 +22,8 @@
     pub sent_at: Moment,
     /// Commands that it has applied.
     pub applied: u64,
+    /// It is shutting down: it serves what it has and takes nothing new.
+    pub leaving: bool,
 }
 
 /// Grants a lease.
--- a/crates/decisions/src/host/report_flow.rs
+++ b/crates/decisions/src/host/report_flow.rs
@@ -67,6 +67,7 @@
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
             self.tend_group(now, &name);
+            self.retire(now, &name);
         }
     }
 
--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -58,8 +58,9 @@
 
     /// The homes of a group that this host is no home of, those of its own data
     /// centre first, each request beginning with another one.
-    fn forward_homes(&self, arrival: &RequestArrival) -> Option<Vec<HomeAddress>> {
-        if arrival.forwarded || self.groups.contains_key(&arrival.group) {
+    pub(super) fn forward_homes(&self, arrival: &RequestArrival) -> Option<Vec<HomeAddress>> {
+        let is_home = self.groups.get(&arrival.group).is_some_and(|group| !group.retiring);
+        if arrival.forwarded || is_home {
             return None;
         }
         let record = self.control.groups.get(&arrival.group)?;
@@ -75,6 +76,7 @@
 
     fn check_arrival(&self, now: Moment, arrival: &RequestArrival) -> Option<ResultCode> {
         match self.groups.get(&arrival.group) {
+            Some(group) if group.retiring => Some(ResultCode::NoDatabase),
             Some(group) if group.waiting() >= group.max_waiting => Some(ResultCode::QueueFull),
             Some(group) if self.would_be_late(now, group, arrival) => Some(ResultCode::QueueFull),
             Some(_) => None,
@@ -384,6 +386,7 @@
     }
 
     fn expire(&mut self, now: Moment, request: RequestId) {
+        self.note_late_lookup(now, request);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
@@ -418,6 +421,15 @@
         }
     }
 
+    /// Takes a request out of its group's books.
+    pub(super) fn forget(&mut self, request: RequestId) -> Option<RequestRecord> {
+        let record = self.requests.remove(&request)?;
+        if let Some(group) = self.groups.get_mut(&record.arrival.group) {
+            group.forget(request, &record);
+        }
+        Some(record)
+    }
+
     /// Ends a request and forgets it.
     pub(super) fn conclude(
         &mut self,
@@ -426,16 +438,15 @@
         result: ResultCode,
         mark: Option<LogPosition>,
     ) {
-        let Some(record) = self.requests.remove(&request) else {
+        let Some(record) = self.forget(request) else {
             return;
         };
         let mut retry_after = None;
-        if let Some(group) = self.groups.get_mut(&record.arrival.group) {
-            group.forget(request, &record);
-            if result == ResultCode::QueueFull {
-                let is_write = record.arrival.kind == RequestKind::Write;
-                retry_after = Some(group.expected_wait(is_write));
-            }
+        if let Some(group) = self.groups.get(&record.arrival.group)
+            && result == ResultCode::QueueFull
+        {
+            let is_write = record.arrival.kind == RequestKind::Write;
+            retry_after = Some(group.expected_wait(is_write));
         }
         let conclusion = Conclusion { result, mark, retry_after };
         self.effects.push(HostEffect::Conclude(request, conclusion));
--- a/crates/lab/src/slopes/decision_slopes.rs
+++ b/crates/lab/src/slopes/decision_slopes.rs
@@ -115,6 +115,7 @@
             record: host_record(id)?,
             sent_at: self.now,
             applied: self.state.control().applied,
+            leaving: false,
         };
         let message = PeerMessage::LeaseRequest(request);
         self.step(HostEvent::Peer(HostId(id), message));
@@ -217,7 +218,7 @@
         let record = host_record(2)?;
         let applied = leader.state.control().applied;
         let renewal = |sent_at: Moment| {
-            let request = LeaseRequest { record: record.clone(), sent_at, applied };
+            let request = LeaseRequest { record: record.clone(), sent_at, applied, leaving: false };
             HostEvent::Peer(HostId(2), PeerMessage::LeaseRequest(request))
         };
         leases.push(SlopePoint { size, value: leader.time_steps(renewal) });
