Run stand-in upstreams as a process with a fault port

Change: `hawthornstack-lab upstreams` runs a deployment's databases, announces them and takes faults over HTTP.

--- a/crates/lab/src/cluster/lab_cluster.rs
+++ b/crates/lab/src/cluster/lab_cluster.rs
@@ -234,7 +234,8 @@
     DataCentre::new(&name).map_err(invalid)
 }
 
-fn stand_in_settings(
+/// Settings of the databases of one instance.
+pub(crate) fn stand_in_settings(
     deployment: &Deployment,
     instance: u32,
 ) -> Result<Vec<StandInSettings>, ClusterError> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod latency;
 pub mod load;
 pub mod slopes;
+pub mod standalone;
 pub mod upstreams;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
     latency::{LatencyPlan, run_latency},
     load::{LoadPlan, LoadProfile, run_load},
     slopes::run_slopes,
+    standalone::{StandalonePlan, run_standalone},
 };
 
 /// Exit code for a broken promise.
@@ -34,6 +35,7 @@
     Latency(LatencyCommand),
     Load(LoadCommand),
     Slopes(SlopesCommand),
+    Upstreams(UpstreamsCommand),
 }
 
 /// Run daemons, upstreams and callers in one process, with faults.
@@ -127,6 +129,28 @@
     seed: u64,
 }
 
+/// Run stand-in upstreams that announce themselves to daemons.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstreams")]
+struct UpstreamsCommand {
+    /// deployment: lone-star (default) or cascade
+    #[argh(option, default = "DeploymentName::LoneStar")]
+    deployment: DeploymentName,
+    /// operators' address of a daemon; may be given more than once (default
+    /// 127.0.0.1:8432)
+    #[argh(option)]
+    daemon: Vec<std::net::SocketAddr>,
+    /// address on which faults are set (default 127.0.0.1:9432)
+    #[argh(option, default = "std::net::SocketAddr::from(([127, 0, 0, 1], 9432))")]
+    control: std::net::SocketAddr,
+    /// lag of replicas in milliseconds (default 20)
+    #[argh(option, default = "20")]
+    lag_ms: u64,
+    /// seed of lag and jitter (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 fn main() -> ExitCode {
     let arguments: LabArguments = argh::from_env();
     match arguments.command {
@@ -135,6 +159,7 @@
         LabCommand::Latency(command) => latency(&command),
         LabCommand::Load(command) => load(&command),
         LabCommand::Slopes(command) => slopes(&command),
+        LabCommand::Upstreams(command) => upstreams(&command),
     }
 }
 
@@ -201,6 +226,27 @@
     }
 }
 
+#[tokio::main]
+async fn upstreams(command: &UpstreamsCommand) -> ExitCode {
+    let daemons = match command.daemon.is_empty() {
+        true => vec![std::net::SocketAddr::from(([127, 0, 0, 1], 8432))],
+        false => command.daemon.clone(),
+    };
+    let plan = StandalonePlan {
+        deployment: Deployment {
+            lag: Duration::from_millis(command.lag_ms),
+            ..Deployment::named(command.deployment)
+        },
+        daemons,
+        control: command.control,
+        seed: command.seed,
+    };
+    match run_standalone(&plan).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => not_run(&error),
+    }
+}
+
 #[tokio::main]
 async fn latency(command: &LatencyCommand) -> ExitCode {
     let plan = LatencyPlan {
