Let the leader look at groups only when one may need it

Change: the leader notes whether any group changes its primary or should, and looks at them after a committed command or while suspicions are fresh. The drain tests wait for the change instead of a fixed time.

--- a/crates/decisions/src/failover/suspicion_table.rs
+++ b/crates/decisions/src/failover/suspicion_table.rs
@@ -29,6 +29,12 @@
         self.suspicions.insert((group.clone(), host), suspicion);
     }
 
+    /// Drops what no longer counts; true if anything is left.
+    pub fn prune(&mut self, now: Moment) -> bool {
+        self.suspicions.retain(|_, suspicion| now.since(suspicion.at) < SUSPICION_LIFETIME);
+        !self.suspicions.is_empty()
+    }
+
     /// True if a majority of the group's live homes suspects the primary of
     /// the record's term, so that one host's broken path is not enough.
     pub fn is_confirmed(&self, now: Moment, record: &GroupRecord, leases: &LeaseTable) -> bool {
--- a/crates/decisions/src/host/leader_duty.rs
+++ b/crates/decisions/src/host/leader_duty.rs
@@ -52,6 +52,8 @@
     announcements: BTreeMap<DatabaseName, HeardAnnouncement>,
     proposals: Vec<RecentProposal>,
     survey_due: Moment,
+    /// A group may need the leader; else the groups need not be looked at.
+    restless: bool,
 }
 
 #[derive(Debug)]
@@ -71,6 +73,7 @@
             announcements: BTreeMap::new(),
             proposals: Vec::new(),
             survey_due: now,
+            restless: true,
         });
         self.effects.push(HostEffect::Note(format!("This host leads control in term {term}.")));
     }
@@ -100,12 +103,29 @@
         if !self.is_current_leader(now) {
             return;
         }
-        self.end_suspected_terms(now);
-        self.drive_changes(now);
+        if self.may_be_needed(now) {
+            self.end_suspected_terms(now);
+            self.drive_changes(now);
+            self.note_rest();
+        }
         self.order_followers(now);
         self.survey(now);
     }
 
+    fn may_be_needed(&mut self, now: Moment) -> bool {
+        self.duty.as_mut().is_some_and(|duty| duty.suspicions.prune(now) || duty.restless)
+    }
+
+    /// Notes whether any group still changes its primary, or should.
+    fn note_rest(&mut self) {
+        let mut groups = self.control.groups.values();
+        let restless =
+            groups.any(|record| record.phase != GroupPhase::Steady || record.wants_other_primary());
+        if let Some(duty) = &mut self.duty {
+            duty.restless = restless;
+        }
+    }
+
     fn end_suspected_terms(&mut self, now: Moment) {
         let Some(duty) = &self.duty else {
             return;
@@ -214,6 +234,7 @@
         let Some(duty) = &mut self.duty else {
             return;
         };
+        duty.restless = true;
         match command {
             ControlCommand::TermEnded { group, .. } => {
                 if let Some(record) = self.control.groups.get(group) {
--- a/crates/lab/tests/graceful_change.rs
+++ b/crates/lab/tests/graceful_change.rs
@@ -16,6 +16,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Rounds of 10 ms that a change is waited for.
+const PATIENCE_ROUNDS: u32 = 3_000;
+
 #[derive(Default)]
 struct Counts {
     written: AtomicU64,
@@ -129,9 +132,14 @@
     let old = cluster.groups[0].primary().unwrap();
     let drain = Intent::DrainDatabase(old.settings.database.clone());
     assert_eq!(cluster.operator().carry_out(drain).await.unwrap().code, 0);
-    while cluster.groups[0].primary().is_none_or(|new| new.address == old.address) {
+    let moved = || cluster.groups[0].primary().is_some_and(|new| new.address != old.address);
+    for _ in 0..PATIENCE_ROUNDS {
+        if moved() {
+            break;
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    assert!(moved(), "the drained primary hands over");
     tokio::time::sleep(Duration::from_millis(300)).await;
     let counts = writers.stop().await;
     let written = counts.written.load(Ordering::Relaxed);
@@ -152,11 +160,18 @@
     let counts = writers.stop().await;
     assert_eq!(counts.open.load(Ordering::Relaxed), 0, "requests were left open");
     let address = cluster.caller_addresses()[1];
-    let caller = LabCaller::connect(address, "shiftbook.1", &[]).await;
-    let refused = match caller {
-        Ok(caller) => caller.simple("SELECT 1").await.is_err(),
-        Err(_) => true,
+    let served = || async {
+        match LabCaller::connect(address, "shiftbook.1", &[]).await {
+            Ok(caller) => caller.simple("SELECT 1").await.is_ok(),
+            Err(_) => false,
+        }
     };
-    assert!(refused, "a drained host takes no callers");
+    for _ in 0..PATIENCE_ROUNDS {
+        if !served().await {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!served().await, "a drained host takes no callers");
     assert_eq!(rows(&cluster).await, counts.written.load(Ordering::Relaxed));
 }
