--- /dev/null
+++ b/crates/decisions/tests/schedule/schedule_run/callers.rs
@@ -0,0 +1,184 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use hawthornstack_decisions::{
+    control::{Declaration, Intent, ServiceDeclaration},
+    directory::DatabaseRole,
+    host::{HomeAddress, HostEvent, OperatorAnswer, OperatorQuestion},
+    identity::{RequestId, SessionId},
+    outcomes::{Outcome, ResultCode},
+    positions::LogPosition,
+    requests::{MarkSource, RequestArrival, RequestKind},
+};
+use rand::RngExt;
+
+use super::{Action, CALLERS_UNTIL, MILLI, Sabotage, ScheduleRun, group};
+use crate::schedule::{fake_database::FakeDatabase, schedule_verdict::CallerOperation};
+
+impl ScheduleRun {
+    pub(super) fn next_operation(&mut self, session: usize) {
+        if self.now >= CALLERS_UNTIL {
+            return;
+        }
+        // Roaming callers all end up waiting on the other side of a split.
+        let host = match self.sabotage {
+            Sabotage::NoFences => session % self.hosts.len(),
+            _ => self.rng.random_range(0..self.hosts.len()),
+        };
+        let think = self.rng.random_range(1_000..20 * MILLI);
+        if self.hosts[host].state.is_none() {
+            return self.after(think, Action::NextOperation(session));
+        }
+        let writes = self.rng.random_range(0..10) < 4;
+        let number = writes.then(|| {
+            self.numbers[session] += 1;
+            self.numbers[session]
+        });
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        self.operations.push(CallerOperation {
+            session,
+            number,
+            sent_at: self.now,
+            answered_at: None,
+            outcome: Outcome::Unknown,
+            found: 0,
+        });
+        self.running.insert((host, request), self.operations.len() - 1);
+        let kind = match (writes, self.rng.random_range(0..2)) {
+            (true, _) => RequestKind::Write,
+            (false, 0) => RequestKind::SessionRead,
+            (false, _) => RequestKind::AgedRead(Duration::from_millis(500)),
+        };
+        self.arrive(host, request, session, kind, false);
+    }
+
+    pub(super) fn arrive(
+        &mut self,
+        host: usize,
+        request: RequestId,
+        session: usize,
+        kind: RequestKind,
+        forwarded: bool,
+    ) {
+        let arrival = RequestArrival {
+            request,
+            group: group(),
+            kind,
+            mark: MarkSource::Keepers(LogPosition::default()),
+            session: Some(SessionId::new(&format!("s{session}")).unwrap()),
+            transaction: false,
+            caller: Arc::from(format!("caller-{session}")),
+            forwarded,
+            deadline: self.moment(host) + Duration::from_secs(2),
+        };
+        self.step(host, HostEvent::Arrived(arrival));
+    }
+
+    /// Hands a request to the first home, as the daemon does; a home that is
+    /// down or cut off refuses it.
+    pub(super) fn forward(&mut self, host: usize, request: RequestId, homes: &[HomeAddress]) {
+        let Some(operation) = self.running.remove(&(host, request)) else {
+            return;
+        };
+        let home = homes[0].host.0 as usize;
+        let record = &self.operations[operation];
+        let (session, number) = (record.session, record.number);
+        let unreachable = self.hosts[home].state.is_none() || self.cut.contains(&(host, home));
+        self.running.insert((home, request), operation);
+        if unreachable {
+            return self.concluded(home, request, ResultCode::NoDatabase);
+        }
+        let kind = match number {
+            Some(_) => RequestKind::Write,
+            None => RequestKind::SessionRead,
+        };
+        self.arrive(home, request, session, kind, true);
+    }
+
+    pub(super) fn concluded(&mut self, host: usize, request: RequestId, result: ResultCode) {
+        let Some(operation) = self.running.remove(&(host, request)) else {
+            return;
+        };
+        let record = &mut self.operations[operation];
+        record.answered_at = Some(self.now);
+        record.outcome = result.outcome();
+        let session = record.session;
+        if record.number.is_some() && result == ResultCode::Done {
+            let newest = self.databases.iter().filter(|d| d.role == DatabaseRole::Primary);
+            let newest = newest.max_by_key(|database| database.term);
+            let stands = |d: &FakeDatabase| d.log.iter().any(|entry| entry.operation == operation);
+            if newest.is_some_and(|database| !stands(database)) {
+                let text = format!("write {operation} was acknowledged by a replaced primary");
+                self.verdict.note(text);
+            }
+        }
+        let think = self.rng.random_range(1_000..20 * MILLI);
+        self.after(think, Action::NextOperation(session));
+    }
+
+    // Operators: two of them race on each version; some repeat a request.
+
+    pub(super) fn ask(&mut self, question: OperatorQuestion) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.tickets.insert(ticket, question.clone());
+        self.step(host, HostEvent::Asked { ticket, question });
+    }
+
+    pub(super) fn operate(&mut self) {
+        if self.now < CALLERS_UNTIL {
+            self.after(150 * MILLI, Action::Operate);
+        }
+        for _ in 0..2 {
+            let max_waiting = self.rng.random_range(500..2_000);
+            let service = ServiceDeclaration { instances: 1, databases: 3, max_waiting };
+            let services = BTreeMap::from([(Arc::from("shiftbook"), service)]);
+            self.ask(OperatorQuestion::Plan(Intent::Declare(Declaration { services })));
+        }
+    }
+
+    pub(super) fn answered(&mut self, ticket: u64, answer: OperatorAnswer) {
+        let Some(question) = self.tickets.remove(&ticket) else {
+            return;
+        };
+        match (question, answer) {
+            (OperatorQuestion::Plan(_), OperatorAnswer::Plan(Ok(plan))) => {
+                let request: Arc<str> = Arc::from(format!("request-{ticket}"));
+                self.plans.insert(ticket, (plan.id.clone(), plan.base_version));
+                let question = OperatorQuestion::Confirm {
+                    request,
+                    plan: plan.id,
+                    operator: Arc::from("op"),
+                    at_unix_ms: self.now / MILLI,
+                };
+                self.ask(question.clone());
+                if self.rng.random_range(0..4) == 0 {
+                    self.ask(question);
+                }
+            }
+            (OperatorQuestion::Confirm { request, .. }, OperatorAnswer::Confirm(answer)) => {
+                self.confirmed(request, answer.result, answer.version);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn confirmed(&mut self, request: Arc<str>, result: ResultCode, version: u64) {
+        let first = *self.answers.entry(request.clone()).or_insert((result, version));
+        if first != (result, version) {
+            self.verdict.note(format!("{request} got two answers"));
+        }
+        let ticket: u64 = request["request-".len()..].parse().unwrap();
+        let Some((_, base)) = self.plans.get(&ticket) else {
+            return;
+        };
+        if result == ResultCode::Done && version > *base {
+            let winners = self.winners.entry(*base).or_default();
+            winners.insert(self.plans[&ticket].0.clone());
+            if winners.len() > 1 {
+                self.verdict.note(format!("two plans won on version {base}"));
+            }
+        }
+    }
+}
--- a/crates/lab/src/cluster/lab_cluster.rs
+++ b/crates/lab/src/cluster/lab_cluster.rs
@@ -26,7 +26,7 @@
     cluster_error::{DaemonSnafu, SystemSnafu, UpstreamSnafu},
 };
 use crate::{
-    deployments::Deployment,
+    deployments::{Deployment, DeploymentName},
     upstreams::{StandInDatabase, StandInGroup, StandInSettings, announce_forever, free_address},
 };
 
@@ -48,6 +48,15 @@
     pub seed: u64,
 }
 
+impl ClusterPlan {
+    /// Lone Star's sizes with one group, the first three daemons voting.
+    pub fn one_group(daemons: u32, homes: usize, lag: Duration, seed: u64) -> Self {
+        let deployment =
+            Deployment { instances: 1, lag, ..Deployment::named(DeploymentName::LoneStar) };
+        Self { deployment, daemons, voters: daemons.min(3), homes, seed }
+    }
+}
+
 struct LabDaemon {
     settings: DaemonSettings,
     kernel: Option<DaemonKernel>,
--- a/crates/lab/tests/forwarded_requests.rs
+++ b/crates/lab/tests/forwarded_requests.rs
@@ -4,17 +4,11 @@
 
 use hawthornstack_lab::{
     cluster::{ClusterPlan, LabCaller, LabCluster},
-    deployments::{Deployment, DeploymentName},
     upstreams::Fault,
 };
 
 async fn start() -> LabCluster {
-    let deployment = Deployment {
-        instances: 1,
-        lag: Duration::from_millis(100),
-        ..Deployment::named(DeploymentName::LoneStar)
-    };
-    let plan = ClusterPlan { deployment, daemons: 6, voters: 3, homes: 2, seed: 5 };
+    let plan = ClusterPlan::one_group(6, 2, Duration::from_millis(100), 5);
     LabCluster::start(plan).await.unwrap()
 }
 
--- a/crates/lab/tests/graceful_change.rs
+++ b/crates/lab/tests/graceful_change.rs
@@ -10,10 +10,7 @@
 };
 
 use hawthornstack_decisions::{control::Intent, outcomes::Outcome};
-use hawthornstack_lab::{
-    cluster::{ClusterPlan, LabCaller, LabCluster},
-    deployments::{Deployment, DeploymentName},
-};
+use hawthornstack_lab::cluster::{ClusterPlan, LabCaller, LabCluster};
 use tokio_util::sync::CancellationToken;
 
 /// Rounds of 10 ms that a change is waited for.
@@ -27,12 +24,7 @@
 }
 
 async fn start() -> LabCluster {
-    let deployment = Deployment {
-        instances: 1,
-        lag: Duration::from_millis(10),
-        ..Deployment::named(DeploymentName::LoneStar)
-    };
-    let plan = ClusterPlan { deployment, daemons: 3, voters: 3, homes: 3, seed: 11 };
+    let plan = ClusterPlan::one_group(3, 3, Duration::from_millis(10), 11);
     let cluster = LabCluster::start(plan).await.unwrap();
     let address = cluster.caller_addresses()[0];
     let caller = LabCaller::connect(address, "shiftbook.1", &[]).await.unwrap();
--- a/crates/lab/tests/request_keys.rs
+++ b/crates/lab/tests/request_keys.rs
@@ -4,17 +4,11 @@
 
 use hawthornstack_lab::{
     cluster::{ClusterPlan, LabCaller, LabCluster},
-    deployments::{Deployment, DeploymentName},
     upstreams::Fault,
 };
 
 async fn start() -> LabCluster {
-    let deployment = Deployment {
-        instances: 1,
-        lag: Duration::from_millis(10),
-        ..Deployment::named(DeploymentName::LoneStar)
-    };
-    let plan = ClusterPlan { deployment, daemons: 3, voters: 3, homes: 3, seed: 3 };
+    let plan = ClusterPlan::one_group(3, 3, Duration::from_millis(10), 3);
     LabCluster::start(plan).await.unwrap()
 }
 
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -3,15 +3,10 @@
 use std::time::Duration;
 
 use hawthornstack_decisions::outcomes::Outcome;
-use hawthornstack_lab::{
-    cluster::{ClusterPlan, LabCaller, LabCluster},
-    deployments::{Deployment, DeploymentName},
-};
+use hawthornstack_lab::cluster::{ClusterPlan, LabCaller, LabCluster};
 
 fn plan(lag: Duration) -> ClusterPlan {
-    let deployment =
-        Deployment { instances: 1, lag, ..Deployment::named(DeploymentName::LoneStar) };
-    ClusterPlan { deployment, daemons: 3, voters: 3, homes: 3, seed: 7 }
+    ClusterPlan::one_group(3, 3, lag, 7)
 }
 
 async fn connect(cluster: &LabCluster, daemon: usize, settings: &[&str]) -> LabCaller {
