Show that a second announcement of a database changes nothing

Cause: of the bad input that callers and upstreams may send, only an announcement for a database that is announced elsewhere had no test.

Change: the test announces a known database from another address to every daemon; none takes the address and a write goes on. The announcer and the test use one client.

Before: not tested.

--- a/crates/lab/src/cluster/operator_client.rs
+++ b/crates/lab/src/cluster/operator_client.rs
@@ -1,9 +1,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hawthornstack_decisions::control::Intent;
+use hawthornstack_decisions::{control::Intent, directory::Announcement};
 use hawthornstack_wire::operators::{
-    CONFIRM_PATH, ConfirmRequest, ConfirmResponse, PLAN_PATH, PlanRequest, PlanResponse,
-    STATUS_PATH, StatusResponse,
+    ANNOUNCE_PATH, CONFIRM_PATH, ConfirmRequest, ConfirmResponse, PLAN_PATH, PlanRequest,
+    PlanResponse, STATUS_PATH, StatusResponse,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -40,6 +40,13 @@
         self.post(CONFIRM_PATH, &request).await
     }
 
+    /// Announces a database to one daemon; true if the daemon took the word.
+    pub async fn announce(daemon: SocketAddr, announcement: Announcement) -> bool {
+        let url = format!("http://{daemon}{ANNOUNCE_PATH}");
+        let sent = tokio::task::spawn_blocking(move || ureq::post(&url).send_json(&announcement));
+        matches!(sent.await, Ok(Ok(_)))
+    }
+
     /// The state of the system as one daemon sees it; `None` if it is silent.
     pub async fn status(daemon: SocketAddr) -> Option<StatusResponse> {
         let url = format!("http://{daemon}{STATUS_PATH}");
--- a/crates/lab/src/upstreams/announcer.rs
+++ b/crates/lab/src/upstreams/announcer.rs
@@ -1,8 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hawthornstack_wire::operators::ANNOUNCE_PATH;
-
 use super::{Fault, StandInDatabase};
+use crate::cluster::OperatorClient;
 
 /// Time between two announcements of a database.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,12 +23,9 @@
             let daemon = daemons[turn % daemons.len()];
             turn += 1;
             let leaves = leaving.load(std::sync::atomic::Ordering::Relaxed);
-            let announcement = database.announcement(leaves);
-            let url = format!("http://{daemon}{ANNOUNCE_PATH}");
-            let sent =
-                tokio::task::spawn_blocking(move || ureq::post(&url).send_json(&announcement));
-            if let Ok(Err(error)) = sent.await {
-                log::debug!(target: "upstreams", "An announcement was not taken: {error}.");
+            if !OperatorClient::announce(daemon, database.announcement(leaves)).await {
+                let name = &database.settings.database;
+                log::debug!(target: "upstreams", "An announcement of {name} was not taken.");
             }
         }
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
--- a/crates/lab/tests/whole_path.rs
+++ b/crates/lab/tests/whole_path.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornstack_decisions::outcomes::Outcome;
-use hawthornstack_lab::cluster::{ClusterPlan, LabCaller, LabCluster};
+use hawthornstack_lab::cluster::{ClusterPlan, LabCaller, LabCluster, OperatorClient};
 
 fn plan(lag: Duration) -> ClusterPlan {
     ClusterPlan::one_group(3, 3, lag, 7)
@@ -88,3 +88,25 @@
     assert_eq!(refused.outcome, Outcome::DidNotRun);
     assert!(caller.simple("SELECT 1").await.is_ok());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn announced_elsewhere() {
+    let cluster = LabCluster::start(plan(Duration::from_millis(5))).await.unwrap();
+    let caller = connect(&cluster, 0, &[]).await;
+    caller.simple("CREATE TABLE t (a BIGINT)").await.unwrap();
+    let real = &cluster.groups[0].databases[0];
+    let mut forged = real.announcement(false);
+    forged.address = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    for daemon in cluster.operator_addresses() {
+        let sent = OperatorClient::announce(daemon, forged.clone()).await;
+        assert!(sent, "an announcement is taken, and then refused by its content");
+    }
+    caller.simple("INSERT INTO t VALUES (1)").await.unwrap();
+    for daemon in cluster.operator_addresses() {
+        let status = OperatorClient::status(daemon).await.unwrap();
+        let members: Vec<_> = status.groups.iter().flat_map(|group| &group.members).collect();
+        assert_eq!(members.len(), 3);
+        let known = members.iter().find(|m| m.database == real.settings.database).unwrap();
+        assert_eq!(known.address, real.address);
+    }
+}
