Name the steps of a keyed request

Cause: one function of the keyed request ran, judged and reported attempts, and stood too close to its twin for plain requests.

Change: what follows from an attempt is an enum of its own; the loop only carries it out.

--- a/crates/daemon/src/callers/keyed_request.rs
+++ b/crates/daemon/src/callers/keyed_request.rs
@@ -48,6 +48,35 @@
     NotRun,
 }
 
+/// What follows from an attempt.
+enum KeyedStep {
+    /// Report it, and hold the answer until the host concludes.
+    Report(ExecutionReport, AnswerWriter),
+    /// Tell the caller at once.
+    Refuse(ResultCode),
+    /// The connection cannot be used again.
+    Lost,
+}
+
+impl KeyedStep {
+    fn after(attempt: Result<KeyedAttempt, UpstreamError>) -> Self {
+        match attempt {
+            Ok(KeyedAttempt::Committed(answer, position)) => {
+                Self::Report(ExecutionReport::Written(position), answer)
+            }
+            Ok(KeyedAttempt::Failed(answer, position)) => {
+                Self::Report(ExecutionReport::Read(position), answer)
+            }
+            Ok(KeyedAttempt::NotRun) => {
+                Self::Report(ExecutionReport::NotRun, AnswerWriter::default())
+            }
+            Ok(KeyedAttempt::Reused) => Self::Refuse(ResultCode::KeyReused),
+            Ok(KeyedAttempt::TooLarge) => Self::Refuse(ResultCode::AnswerTooLarge),
+            Err(_) => Self::Lost,
+        }
+    }
+}
+
 impl<'a> KeyedRequest<'a> {
     pub(super) fn new(key: &str, work: RequestWork<'a>) -> Self {
         let mut hasher = blake3::Hasher::new();
@@ -111,33 +140,19 @@
                     };
                     let attempt =
                         tokio::time::timeout(state.timeout, self.attempt(&mut connection));
-                    let report = match attempt.await.unwrap_or(Err(UpstreamError::Late)) {
-                        Ok(KeyedAttempt::Committed(answer, position)) => {
-                            held = answer;
-                            ExecutionReport::Written(position)
-                        }
-                        Ok(KeyedAttempt::Failed(answer, position)) => {
+                    match KeyedStep::after(attempt.await.unwrap_or(Err(UpstreamError::Late))) {
+                        KeyedStep::Lost => handle.report(ExecutionReport::Lost),
+                        KeyedStep::Report(report, answer) => {
                             held = answer;
-                            ExecutionReport::Read(position)
-                        }
-                        Ok(KeyedAttempt::NotRun) => ExecutionReport::NotRun,
-                        Ok(KeyedAttempt::Reused) => {
                             store.check_in(&database, connection);
-                            handle.report(ExecutionReport::RolledBack);
-                            return RunEnd::Refused(ResultCode::KeyReused);
+                            handle.report(report);
                         }
-                        Ok(KeyedAttempt::TooLarge) => {
+                        KeyedStep::Refuse(code) => {
                             store.check_in(&database, connection);
                             handle.report(ExecutionReport::RolledBack);
-                            return RunEnd::Refused(ResultCode::AnswerTooLarge);
-                        }
-                        Err(_) => {
-                            handle.report(ExecutionReport::Lost);
-                            continue;
+                            return RunEnd::Refused(code);
                         }
-                    };
-                    store.check_in(&database, connection);
-                    handle.report(report);
+                    }
                 }
             }
         }
