Give up a silent database for its successor in keyed requests

Change: one attempt takes at most 1 s; creating the table of keyed requests is repeated likewise. With it, tidying: one search through error frames, and the session takes a conclusion's mark in one place.

--- a/crates/daemon/src/callers/forward_runner.rs
+++ b/crates/daemon/src/callers/forward_runner.rs
@@ -166,8 +166,6 @@
 impl ReplySegment {
     /// True if the answer is an error with this result code.
     fn has_result(&self, code: ResultCode) -> bool {
-        let detail = format!("Dhawthornstack result {}:", code.number());
-        let holds = |frame: &[u8]| frame.windows(detail.len()).any(|at| at == detail.as_bytes());
-        self.failed && self.iter().any(|(kind, frame)| kind == b'E' && holds(frame))
+        self.has_error_text(&format!("Dhawthornstack result {}:", code.number()))
     }
 }
--- a/crates/daemon/src/callers/keyed_request.rs
+++ b/crates/daemon/src/callers/keyed_request.rs
@@ -1,4 +1,4 @@
-use std::{fmt::Write as _, sync::Arc};
+use std::{fmt::Write as _, sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use hawthornstack_decisions::{
@@ -21,6 +21,9 @@
 /// Table in each group that keeps the answers of keyed requests.
 pub(super) const REQUEST_TABLE: &str = "CREATE TABLE IF NOT EXISTS hawthornstack_requests \
      (key TEXT PRIMARY KEY, fingerprint TEXT NOT NULL, answer TEXT NOT NULL)";
+/// Time of one attempt: a silent database is given up for its successor, since
+/// repeating is safe.
+pub(super) const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest answer that is kept for repeats, in bytes.
 const MAX_KEPT_ANSWER: usize = 64 * 1024;
 
@@ -124,8 +127,7 @@
         loop {
             match handle.next().await {
                 RequestSignal::Conclude(conclusion) => {
-                    state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
-                    return RunEnd::of(&conclusion, held);
+                    return RunEnd::of(&conclusion, held, state);
                 }
                 RequestSignal::Forward(homes) => {
                     let key = Some(self.key.clone());
@@ -138,8 +140,10 @@
                         handle.report(ExecutionReport::NotRun);
                         continue;
                     };
-                    let attempt =
-                        tokio::time::timeout(state.timeout, self.attempt(&mut connection));
+                    let attempt = tokio::time::timeout(
+                        state.timeout.min(ATTEMPT_TIMEOUT),
+                        self.attempt(&mut connection),
+                    );
                     match KeyedStep::after(attempt.await.unwrap_or(Err(UpstreamError::Late))) {
                         KeyedStep::Lost => handle.report(ExecutionReport::Lost),
                         KeyedStep::Report(report, answer) => {
--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -16,7 +16,7 @@
     caller_state::CallerState,
     cancel_registry::CancelTicket,
     extended_batch::{BatchItem, BatchRequest},
-    keyed_request::{KeyedRequest, REQUEST_TABLE},
+    keyed_request::{ATTEMPT_TIMEOUT, KeyedRequest, REQUEST_TABLE},
     transaction::{OpenTransaction, TransactionPlace},
 };
 use crate::{
@@ -58,8 +58,10 @@
 }
 
 impl RunEnd {
-    /// The end that the host's conclusion means for a held answer.
-    pub(super) fn of(conclusion: &Conclusion, held: AnswerWriter) -> Self {
+    /// The end that the host's conclusion means for a held answer; the session
+    /// takes its mark.
+    pub(super) fn of(conclusion: &Conclusion, held: AnswerWriter, state: &mut CallerState) -> Self {
+        state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
         match (conclusion.result, conclusion.retry_after) {
             (ResultCode::Done, _) => Self::Answered(held),
             (code, Some(wait)) => Self::Busy(code, wait),
@@ -167,16 +169,33 @@
             return self.run(state, work, kind).await;
         };
         if !self.context.keyed_groups.contains(&state.group) {
-            let table = RequestWork::Simple(REQUEST_TABLE);
-            match self.run(state, table, RequestKind::Write).await {
-                RunEnd::Answered(_) => {}
-                refused => return refused,
+            if let Some(refused) = self.create_request_table(state).await {
+                return refused;
             }
-            self.context.keyed_groups.insert(&state.group);
         }
         KeyedRequest::new(&key, work).run(self, state).await
     }
 
+    /// Creates the table of keyed requests if there is none; safe to repeat.
+    async fn create_request_table(&self, state: &mut CallerState) -> Option<RunEnd> {
+        let timeout = state.timeout;
+        let deadline = self.context.clock.now() + timeout;
+        let table = RequestWork::Simple(REQUEST_TABLE);
+        loop {
+            state.timeout = timeout.min(ATTEMPT_TIMEOUT);
+            let end = self.run(state, table, RequestKind::Write).await;
+            state.timeout = timeout;
+            match end {
+                RunEnd::Answered(_) => {
+                    self.context.keyed_groups.insert(&state.group);
+                    return None;
+                }
+                _ if self.context.clock.now() < deadline => {}
+                refused => return Some(refused),
+            }
+        }
+    }
+
     /// Runs work outside a transaction.
     async fn run(
         &self,
@@ -191,8 +210,7 @@
         loop {
             match handle.next().await {
                 RequestSignal::Conclude(conclusion) => {
-                    state.mark = state.mark.max(conclusion.mark.unwrap_or_default());
-                    return RunEnd::of(&conclusion, held);
+                    return RunEnd::of(&conclusion, held, state);
                 }
                 RequestSignal::Forward(homes) => {
                     let writes = kind == RequestKind::Write;
--- a/crates/daemon/src/upstreams/upstream_connection.rs
+++ b/crates/daemon/src/upstreams/upstream_connection.rs
@@ -78,8 +78,12 @@
 
     /// True if an error with this SQLSTATE is among the messages.
     pub fn has_sqlstate(&self, sqlstate: &str) -> bool {
-        let field = format!("C{sqlstate}\0");
-        let holds = |frame: &[u8]| frame.windows(field.len()).any(|at| at == field.as_bytes());
+        self.has_error_text(&format!("C{sqlstate}\0"))
+    }
+
+    /// True if an error holds this text, its field's letter first.
+    pub(crate) fn has_error_text(&self, text: &str) -> bool {
+        let holds = |frame: &[u8]| frame.windows(text.len()).any(|at| at == text.as_bytes());
         self.failed && self.iter().any(|(kind, frame)| kind == b'E' && holds(frame))
     }
 
