Work out a queue's wait once for each look at it

Cause: the expected wait and the fastest service were worked out again for each of up to 64 waiting reads.

Change: once a look, handed to the choice.

--- a/crates/decisions/src/host/request_flow.rs
+++ b/crates/decisions/src/host/request_flow.rs
@@ -94,10 +94,10 @@
         now + wait * 2 > arrival.deadline
     }
 
-    /// True if no database can be expected to answer before the deadline.
-    fn is_hopeless(&self, now: Moment, group: &GroupView, request: RequestId) -> bool {
+    /// True if the earliest answer that can be expected is past the deadline.
+    fn is_hopeless(&self, earliest: Moment, request: RequestId) -> bool {
         let record = self.requests.get(&request);
-        record.is_some_and(|record| now + group.fastest_service() > record.arrival.deadline)
+        record.is_some_and(|record| earliest > record.arrival.deadline)
     }
 
     /// Puts a request whose mark is settled into its group's queue.
@@ -152,15 +152,17 @@
             true => group.writes.upcoming(1),
             false => group.reads.upcoming(READ_SCAN),
         };
-        let hopeless = upcoming.iter().find(|request| self.is_hopeless(now, group, **request));
+        let earliest = now + group.fastest_service();
+        let hopeless = upcoming.iter().find(|request| self.is_hopeless(earliest, **request));
         if let Some(request) = hopeless.copied() {
             let result = self.late_result(now, request);
             self.conclude(now, request, result, None);
             return true;
         }
+        let crowded = group.expected_wait(false) > CROWDED_WAIT;
         let chosen = upcoming
             .into_iter()
-            .find_map(|request| Some((request, self.choose(now, name, request)?)));
+            .find_map(|request| Some((request, self.choose(now, group, crowded, request)?)));
         let Some((request, database)) = chosen else {
             return false;
         };
@@ -175,13 +177,18 @@
         true
     }
 
-    fn choose(&self, now: Moment, name: &GroupName, request: RequestId) -> Option<DatabaseName> {
-        let group = self.groups.get(name)?;
+    fn choose(
+        &self,
+        now: Moment,
+        group: &GroupView,
+        crowded: bool,
+        request: RequestId,
+    ) -> Option<DatabaseName> {
         let record = self.requests.get(&request)?;
         let query = RouteQuery {
             now,
             kind: record.arrival.kind,
-            crowded: group.expected_wait(false) > CROWDED_WAIT,
+            crowded,
             transaction: record.arrival.transaction,
             mark: record.mark,
             primary: group.confirmed_primary(),
