--- a/crates/daemon/src/callers/request_runner.rs
+++ b/crates/daemon/src/callers/request_runner.rs
@@ -168,10 +168,10 @@
         let Some(key) = key else {
             return self.run(state, work, kind).await;
         };
-        if !self.context.keyed_groups.contains(&state.group) {
-            if let Some(refused) = self.create_request_table(state).await {
-                return refused;
-            }
+        if !self.context.keyed_groups.contains(&state.group)
+            && let Some(refused) = self.create_request_table(state).await
+        {
+            return refused;
         }
         KeyedRequest::new(&key, work).run(self, state).await
     }
