--- /dev/null
+++ b/crates/daemon/src/clock/mod.rs
@@ -0,0 +1,5 @@
+//! The clock that leases are counted on.
+
+mod boot_clock;
+
+pub use boot_clock::BootClock;
--- /dev/null
+++ b/crates/daemon/src/control/peer_links.rs
@@ -0,0 +1,173 @@
+use std::{io, time::Duration};
+
+use hawthornstack_decisions::{
+    control_host::{ControlEvent, ControlMessage, EntryUpdate, LinkFrame, LinkRole},
+    identity::HostId,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    links::{FrameReader, FrameWriter, accept_link, host_address, open_link},
+};
+
+/// Pause before a control host is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(200);
+/// Messages that may wait for a control host; more are dropped, since the
+/// protocol between voters repeats what matters.
+const PEER_QUEUE: usize = 512;
+/// Updates that may wait for an entry host before its link is closed.
+const ENTRY_QUEUE: usize = 256;
+/// Time for the first frame of a link.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a frame to be taken; longer silences close the link.
+const SEND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What links tell the control service.
+pub(super) enum LinkEvent {
+    /// A fact for the decisions.
+    Control(ControlEvent),
+    /// An entry host opened a link; updates go to the queue.
+    EntryOpened(HostId, u64, mpsc::Sender<EntryUpdate>),
+    /// The link with this number closed.
+    EntryClosed(HostId, u64),
+}
+
+/// Sends messages to one control host over a link that is kept up.
+pub(super) fn dial_peer(me: HostId, peer: HostId, port: u16) -> mpsc::Sender<ControlMessage> {
+    let (queue, mut messages) = mpsc::channel(PEER_QUEUE);
+    tokio::task::spawn_local(async move {
+        while !messages.is_closed() {
+            if let Err(error) = send_messages(me, peer, port, &mut messages).await {
+                tracing::debug!(target: "control", %peer, %error, "link to control host closed");
+            }
+            while messages.try_recv().is_ok() {}
+            sleep(REDIAL_PAUSE).await;
+        }
+    });
+    queue
+}
+
+async fn send_messages(
+    me: HostId,
+    peer: HostId,
+    port: u16,
+    messages: &mut mpsc::Receiver<ControlMessage>,
+) -> io::Result<()> {
+    let (mut reader, mut writer) = open_link(host_address(peer, port)).await?;
+    writer.send(&LinkFrame::Hello { role: LinkRole::Control, host: me }).await?;
+    loop {
+        tokio::select! {
+            biased;
+            // Nothing comes this way but the end of the link.
+            frame = reader.next() => return frame.map(|_| ()),
+            message = messages.recv() => {
+                let Some(message) = message else {
+                    return Ok(());
+                };
+                writer.feed(&LinkFrame::Control(Box::new(message))).await?;
+                while let Ok(message) = messages.try_recv() {
+                    writer.feed(&LinkFrame::Control(Box::new(message))).await?;
+                }
+                timeout(SEND_TIMEOUT, writer.flush()).await??;
+            }
+        }
+    }
+}
+
+/// Accepts links of control and entry hosts.
+pub(super) async fn accept_links(listener: TcpListener, events: mpsc::UnboundedSender<LinkEvent>) {
+    let mut number = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                number += 1;
+                let events = events.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serve_link(stream, number, &events).await {
+                        tracing::debug!(target: "control", %error, "a link closed");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(target: "control", %error, "a link was not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(
+    stream: TcpStream,
+    number: u64,
+    events: &mpsc::UnboundedSender<LinkEvent>,
+) -> io::Result<()> {
+    let (mut reader, writer) = accept_link(stream)?;
+    match timeout(HELLO_TIMEOUT, reader.next()).await?? {
+        Some(LinkFrame::Hello { role: LinkRole::Control, host }) => {
+            send(events, ControlEvent::PeerLinked(host));
+            receive_messages(host, &mut reader, events).await
+        }
+        Some(LinkFrame::Hello { role: LinkRole::Entry, host }) => {
+            let (queue, updates) = mpsc::channel(ENTRY_QUEUE);
+            let _ = events.send(LinkEvent::EntryOpened(host, number, queue));
+            let result = serve_entry(host, &mut reader, writer, updates, events).await;
+            let _ = events.send(LinkEvent::EntryClosed(host, number));
+            result
+        }
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+async fn receive_messages(
+    peer: HostId,
+    reader: &mut FrameReader,
+    events: &mpsc::UnboundedSender<LinkEvent>,
+) -> io::Result<()> {
+    while let Some(frame) = reader.next().await? {
+        let LinkFrame::Control(message) = frame else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        send(events, ControlEvent::Peer(peer, *message));
+    }
+    Ok(())
+}
+
+async fn serve_entry(
+    host: HostId,
+    reader: &mut FrameReader,
+    mut writer: FrameWriter,
+    mut updates: mpsc::Receiver<EntryUpdate>,
+    events: &mpsc::UnboundedSender<LinkEvent>,
+) -> io::Result<()> {
+    loop {
+        tokio::select! {
+            biased;
+            frame = reader.next() => match frame? {
+                Some(LinkFrame::Report(report)) => send(events, ControlEvent::Entry(host, report)),
+                Some(_) => return Err(io::ErrorKind::InvalidData.into()),
+                None => return Ok(()),
+            },
+            update = updates.recv() => {
+                let Some(update) = update else {
+                    return Ok(());
+                };
+                writer.feed(&LinkFrame::Update(update)).await?;
+                while let Ok(update) = updates.try_recv() {
+                    writer.feed(&LinkFrame::Update(update)).await?;
+                }
+                timeout(SEND_TIMEOUT, writer.flush()).await??;
+            }
+        }
+    }
+}
+
+fn send(events: &mpsc::UnboundedSender<LinkEvent>, event: ControlEvent) {
+    // The service ends only with the process.
+    let _ = events.send(LinkEvent::Control(event));
+}
--- /dev/null
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -0,0 +1,134 @@
+use std::sync::Arc;
+
+use hawthornstack_decisions::{
+    entry::PreparedShape, positions::LogPosition, primaries::InstanceStatus,
+};
+use snafu::Snafu;
+
+use super::SessionPhase;
+
+/// What is sent to a database.
+#[derive(Debug, Clone, Copy)]
+pub enum UpstreamCommand<'a> {
+    /// Opens the connection; the database refuses it unless it is the one that
+    /// is meant.
+    Open {
+        /// Service that it must belong to.
+        service: &'a str,
+        /// Who connects.
+        caller: &'a str,
+        /// Id that it must have.
+        instance: &'a str,
+    },
+    /// A caller's statement, unchanged.
+    Statement {
+        /// The caller's id.
+        id: &'a [u8],
+        /// Position that the database must hold.
+        after: Option<LogPosition>,
+        /// Text.
+        text: &'a [u8],
+    },
+    /// A caller's prepared statement under the connection's name.
+    Execute {
+        /// The caller's id.
+        id: &'a [u8],
+        /// Position that the database must hold.
+        after: Option<LogPosition>,
+        /// Name on this connection.
+        name: &'a str,
+        /// Arguments, unchanged.
+        arguments: &'a [u8],
+    },
+    /// Begins a transaction.
+    Begin {
+        /// It only reads.
+        read_only: bool,
+        /// Position that the database must hold.
+        after: Option<LogPosition>,
+    },
+    /// Rolls back.
+    Rollback,
+    /// Clears values and prepared statements.
+    Reset,
+    /// Sets a session value.
+    SetValue {
+        /// Name.
+        name: &'a str,
+        /// Value.
+        value: &'a str,
+    },
+    /// Prepares a statement.
+    Prepare {
+        /// Name on this connection.
+        name: &'a str,
+        /// What it runs.
+        prepared: &'a PreparedShape,
+    },
+    /// Asks for role, term and position.
+    Status,
+}
+
+/// Why a database did not give a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamCode {
+    /// All slots and places are taken; it did not run.
+    Busy,
+    /// The prepared name is not known; it did not run.
+    UnknownStatement,
+    /// The position is not held; it did not run.
+    Lagging,
+    /// The database is no primary; it did not run.
+    ReadOnly,
+    /// The database is another one; it did not run.
+    Misrouted,
+    /// Too many connections.
+    ConnectionLimit,
+    /// Any other code; callers get it as it is.
+    Other,
+}
+
+/// One message of a database.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamReply {
+    /// A row of the result.
+    Row,
+    /// The statement ran to its end.
+    Done,
+    /// The statement gave no result.
+    Refused(UpstreamCode),
+    /// End of the answer.
+    Ready {
+        /// State of the connection.
+        phase: SessionPhase,
+        /// Position of the database's log.
+        position: Option<LogPosition>,
+    },
+}
+
+/// A message of a database that cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("the database sent {line:?}"))]
+pub struct MalformedReply {
+    /// The beginning of the message.
+    pub line: Arc<str>,
+}
+
+/// The protocol that databases speak. Rows, results and refusals are passed on
+/// to callers as they came.
+pub trait UpstreamProtocol {
+    /// Appends a command.
+    fn encode_command(&self, out: &mut Vec<u8>, command: UpstreamCommand<'_>);
+
+    /// Reads one message.
+    ///
+    /// # Errors
+    /// `MalformedReply` with the message.
+    fn decode_reply(&self, line: &[u8]) -> Result<UpstreamReply, MalformedReply>;
+
+    /// Reads the row that answers [`UpstreamCommand::Status`].
+    ///
+    /// # Errors
+    /// `MalformedReply` with the row.
+    fn decode_status(&self, row: &[u8]) -> Result<InstanceStatus, MalformedReply>;
+}
--- /dev/null
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -0,0 +1,503 @@
+use std::{rc::Rc, sync::Arc};
+
+use hawthornstack_decisions::{
+    entry::{SessionState, TransactionPhase},
+    instances::InstanceKey,
+    positions::LogPosition,
+    routes::{RouteKind, RouteRule},
+};
+use tokio::time::{Duration, Instant};
+
+use super::{
+    entry_shared::EntryShared,
+    statement_run::{
+        NoPlace, RunLimits, RunPlace, encode_statement, find_place, pause_busy, run_at,
+    },
+    upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
+};
+use crate::edges::{
+    CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
+};
+
+/// Time for a database to roll a transaction back before its connection is
+/// closed instead.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Part of a read's time that its first database gets, in percent; the rest is
+/// for another one.
+const FIRST_READ_PERCENT: u32 = 60;
+
+/// What a caller is told.
+pub(super) enum CallerReply {
+    /// The statement needed no database.
+    Done,
+    /// A database's answer, as it came.
+    Relayed(Vec<u8>),
+    /// No result.
+    Refused(CallerRefusal, &'static str),
+}
+
+/// How one attempt at a database ended.
+enum AttemptEnd {
+    /// The caller gets this.
+    Reply(CallerReply),
+    /// Nothing ran there; another attempt may.
+    Again,
+}
+
+/// One caller's session.
+pub(super) struct CallerSession {
+    shared: Rc<EntryShared>,
+    database: Arc<str>,
+    state: SessionState,
+    pinned: Option<RunPlace>,
+    /// The pinned transaction has written.
+    wrote: bool,
+    /// Position of the last answer.
+    pub(super) position: Option<LogPosition>,
+}
+
+impl CallerSession {
+    pub(super) fn new(shared: &Rc<EntryShared>, database: Arc<str>) -> Self {
+        Self {
+            shared: shared.clone(),
+            database,
+            state: SessionState::default(),
+            pinned: None,
+            wrote: false,
+            position: None,
+        }
+    }
+
+    pub(super) fn phase(&self) -> SessionPhase {
+        match self.state.transaction {
+            TransactionPhase::Idle => SessionPhase::Idle,
+            TransactionPhase::Begun { .. } | TransactionPhase::Pinned { .. } => {
+                SessionPhase::InTransaction
+            }
+            TransactionPhase::Failed => SessionPhase::Failed,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.state.transaction == TransactionPhase::Idle
+    }
+
+    /// Time for which an open transaction may wait for its next statement.
+    pub(super) fn idle_limit(&self) -> Option<Duration> {
+        self.pinned.as_ref()?;
+        let view = self.shared.view.borrow();
+        view.routes().map(|table| table.limits.transaction_idle)
+    }
+
+    /// Runs one statement.
+    pub(super) async fn run(&mut self, statement: &CallerStatement) -> CallerReply {
+        let failed = self.state.transaction == TransactionPhase::Failed;
+        match &statement.action {
+            StatementAction::Rollback => {
+                self.roll_back();
+                self.state.transaction = TransactionPhase::Idle;
+                CallerReply::Done
+            }
+            StatementAction::Commit if failed => {
+                self.state.transaction = TransactionPhase::Idle;
+                CallerReply::Refused(CallerRefusal::Aborted, "the transaction had failed")
+            }
+            _ if failed => {
+                CallerReply::Refused(CallerRefusal::Malformed, "the transaction failed; end it")
+            }
+            StatementAction::Begin { read_only } => self.begin(*read_only),
+            StatementAction::Commit if self.is_idle() => {
+                CallerReply::Refused(CallerRefusal::Malformed, "no transaction is open")
+            }
+            StatementAction::SetValue { name, value } => {
+                self.state.values.insert(name.clone(), value.clone());
+                CallerReply::Done
+            }
+            StatementAction::Prepare { name, prepared } => {
+                self.state.prepared.insert(name.clone(), prepared.clone());
+                CallerReply::Done
+            }
+            StatementAction::Deallocate { name } => match self.state.prepared.remove(name) {
+                Some(_) => CallerReply::Done,
+                None => unknown_statement(),
+            },
+            StatementAction::Execute { name, .. } if !self.state.prepared.contains_key(name) => {
+                unknown_statement()
+            }
+            _ => self.run_at_database(statement).await,
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> CallerReply {
+        if !self.is_idle() {
+            return CallerReply::Refused(CallerRefusal::Malformed, "a transaction is open");
+        }
+        self.state.transaction = TransactionPhase::Begun { read_only };
+        CallerReply::Done
+    }
+
+    async fn run_at_database(&mut self, statement: &CallerStatement) -> CallerReply {
+        let route = self.shared.view.borrow().route(&self.database);
+        if let Some(place) = self.pinned.take() {
+            let timeout = route.as_ref().map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
+            let deadline = Instant::now() + timeout;
+            return self.run_pinned(place, statement, deadline).await;
+        }
+        let Some(route) = route else {
+            self.state.transaction = TransactionPhase::Idle;
+            return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
+        };
+        let deadline = Instant::now() + route.timeout;
+        match self.state.transaction {
+            TransactionPhase::Begun { read_only } => {
+                self.run_first(&route, statement, read_only, deadline).await
+            }
+            _ => self.run_single(&route, statement, deadline).await,
+        }
+    }
+
+    fn writes(&self, statement: &CallerStatement) -> bool {
+        match &statement.action {
+            StatementAction::Write => true,
+            StatementAction::Execute { name, .. } => {
+                self.state.prepared.get(name).is_some_and(|prepared| prepared.writes)
+            }
+            _ => false,
+        }
+    }
+
+    /// Runs a statement outside a transaction.
+    async fn run_single(
+        &mut self,
+        route: &RouteRule,
+        statement: &CallerStatement,
+        deadline: Instant,
+    ) -> CallerReply {
+        let writes = self.writes(statement);
+        let limits = RunLimits {
+            route,
+            deadline,
+            needs_primary: writes,
+            writes,
+            last_commit: self.state.last_commit,
+        };
+        let mut tried = Vec::new();
+        loop {
+            let place = match find_place(&self.shared, &limits, &mut tried).await {
+                Ok(place) => place,
+                Err(no_place) => return refuse_no_place(&statement.id, no_place),
+            };
+            let end = self.try_single(place, statement, &limits, &mut tried).await;
+            match end {
+                AttemptEnd::Reply(reply) => return reply,
+                AttemptEnd::Again if Instant::now() >= deadline => {
+                    return refuse(&statement.id, CallerRefusal::NotRun, "no database had room");
+                }
+                AttemptEnd::Again => {}
+            }
+        }
+    }
+
+    async fn try_single(
+        &mut self,
+        mut place: RunPlace,
+        statement: &CallerStatement,
+        limits: &RunLimits<'_>,
+        tried: &mut Vec<InstanceKey>,
+    ) -> AttemptEnd {
+        let mut out = Vec::with_capacity(statement.text.len() + 64);
+        let after = place.after;
+        let Some(link) = place.link.link() else {
+            return AttemptEnd::Again;
+        };
+        let restoring =
+            encode_statement(&self.shared, link, &self.state, statement, after, &mut out);
+        let until = attempt_deadline(limits, tried);
+        let result = run_at(&self.shared, &mut place, &out, restoring, until).await;
+        let key = place.link.record().key.clone();
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) if limits.writes => {
+                let hint = match error {
+                    LinkError::Broken => "the connection to the database broke",
+                    LinkError::TimedOut => "the database did not answer in time",
+                    LinkError::TermChanged => "the primary was replaced",
+                };
+                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+            }
+            Err(LinkError::TimedOut) if Instant::now() >= limits.deadline => {
+                let hint = "the database did not answer in time";
+                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::TimedOut, hint));
+            }
+            Err(_) => {
+                tried.push(key);
+                return AttemptEnd::Again;
+            }
+        };
+        if answer.phase != SessionPhase::Idle {
+            let hint = "the database's connection is in an unknown state";
+            return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+        }
+        let retry = self.should_retry(&place, &answer, tried, limits.deadline);
+        let (number, service) = (place.number, place.service.clone());
+        match answer.end {
+            AnswerEnd::Refused(UpstreamCode::UnknownStatement) => drop(place),
+            _ => place.link.release(),
+        }
+        if retry.await {
+            return AttemptEnd::Again;
+        }
+        if limits.writes && answer.end == AnswerEnd::Done {
+            if !self.accepts(&service, number) {
+                let hint = "the primary was replaced before it answered";
+                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+            }
+            self.state.committed(answer.position);
+        }
+        AttemptEnd::Reply(self.relay(answer))
+    }
+
+    /// Runs the first statement of a transaction, which picks its connection.
+    async fn run_first(
+        &mut self,
+        route: &RouteRule,
+        statement: &CallerStatement,
+        read_only: bool,
+        deadline: Instant,
+    ) -> CallerReply {
+        let limits = RunLimits {
+            route,
+            deadline,
+            needs_primary: !read_only || route.kind == RouteKind::Primary,
+            writes: !read_only,
+            last_commit: self.state.last_commit,
+        };
+        let mut tried = Vec::new();
+        while Instant::now() < deadline {
+            let place = match find_place(&self.shared, &limits, &mut tried).await {
+                Ok(place) => place,
+                Err(no_place) => {
+                    self.state.transaction = TransactionPhase::Failed;
+                    return refuse_no_place(&statement.id, no_place);
+                }
+            };
+            if let Some(place) = self.begin_at(place, read_only, &mut tried, deadline).await {
+                self.state.transaction = TransactionPhase::Pinned { read_only };
+                self.wrote = false;
+                return self.run_pinned(place, statement, deadline).await;
+            }
+        }
+        self.state.transaction = TransactionPhase::Failed;
+        refuse(&statement.id, CallerRefusal::NotRun, "no database had room")
+    }
+
+    /// Begins the transaction at a database; `None` if it did not take it.
+    async fn begin_at(
+        &mut self,
+        mut place: RunPlace,
+        read_only: bool,
+        tried: &mut Vec<InstanceKey>,
+        deadline: Instant,
+    ) -> Option<RunPlace> {
+        let mut out = Vec::new();
+        let steps = place.link.link()?.state.restore_values(&self.state);
+        let protocol = &*self.shared.upstreams;
+        super::upstream_link::encode_steps(protocol, &mut out, &steps);
+        let after = place.after;
+        protocol.encode_command(&mut out, UpstreamCommand::Begin { read_only, after });
+        let key = place.link.record().key.clone();
+        match run_at(&self.shared, &mut place, &out, steps.len(), deadline).await {
+            Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(place),
+            Ok(answer) if answer.phase == SessionPhase::Idle => {
+                let retry = self.should_retry(&place, &answer, tried, deadline);
+                place.link.release();
+                retry.await;
+                None
+            }
+            _ => {
+                if place.number.is_none() {
+                    tried.push(key);
+                }
+                None
+            }
+        }
+    }
+
+    /// Runs a statement of a transaction on its connection.
+    async fn run_pinned(
+        &mut self,
+        mut place: RunPlace,
+        statement: &CallerStatement,
+        deadline: Instant,
+    ) -> CallerReply {
+        let commits = statement.action == StatementAction::Commit;
+        let writes = self.writes(statement);
+        loop {
+            let mut out = Vec::with_capacity(statement.text.len() + 64);
+            let Some(link) = place.link.link() else {
+                return self.abort(&statement.id, "the connection is gone");
+            };
+            let restoring =
+                encode_statement(&self.shared, link, &self.state, statement, None, &mut out);
+            let answer = match run_at(&self.shared, &mut place, &out, restoring, deadline).await {
+                Ok(answer) => answer,
+                Err(_) if commits && self.wrote => {
+                    self.state.transaction = TransactionPhase::Idle;
+                    let hint = "the commit was not answered";
+                    return refuse(&statement.id, CallerRefusal::InDoubt, hint);
+                }
+                Err(_) if commits => {
+                    self.state.transaction = TransactionPhase::Idle;
+                    let hint = "the transaction, which wrote nothing, was not committed";
+                    return refuse(&statement.id, CallerRefusal::Aborted, hint);
+                }
+                Err(_) => return self.abort(&statement.id, "the transaction's connection is lost"),
+            };
+            let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
+            if busy
+                && answer.phase == SessionPhase::InTransaction
+                && pause_busy(&self.shared, deadline).await
+            {
+                continue;
+            }
+            self.wrote |= writes && answer.end == AnswerEnd::Done;
+            return self.finish_pinned(place, statement, answer);
+        }
+    }
+
+    fn finish_pinned(
+        &mut self,
+        place: RunPlace,
+        statement: &CallerStatement,
+        answer: UpstreamAnswer,
+    ) -> CallerReply {
+        match answer.phase {
+            SessionPhase::InTransaction => {
+                self.pinned = Some(place);
+                self.relay(answer)
+            }
+            SessionPhase::Failed => {
+                self.state.transaction = TransactionPhase::Failed;
+                self.roll_back_at(place);
+                self.relay(answer)
+            }
+            SessionPhase::Idle => {
+                self.state.transaction = TransactionPhase::Idle;
+                let (number, service) = (place.number, place.service.clone());
+                place.link.release();
+                let committed =
+                    statement.action == StatementAction::Commit && answer.end == AnswerEnd::Done;
+                if committed && self.wrote {
+                    if !self.accepts(&service, number) {
+                        let hint = "the primary was replaced before it answered";
+                        return refuse(&statement.id, CallerRefusal::InDoubt, hint);
+                    }
+                    self.state.committed(answer.position);
+                }
+                self.relay(answer)
+            }
+        }
+    }
+
+    /// Notes why a database ran nothing, and resolves to true once another
+    /// attempt may be made.
+    fn should_retry(
+        &self,
+        place: &RunPlace,
+        answer: &UpstreamAnswer,
+        tried: &mut Vec<InstanceKey>,
+        deadline: Instant,
+    ) -> impl Future<Output = bool> + use<> {
+        let shared = self.shared.clone();
+        let key = &place.link.record().key;
+        let again = match answer.end {
+            AnswerEnd::Refused(UpstreamCode::Busy | UpstreamCode::UnknownStatement) => true,
+            AnswerEnd::Refused(UpstreamCode::Lagging | UpstreamCode::Misrouted) => {
+                shared.view.borrow_mut().loads.lagged(shared.now(), key);
+                tried.push(key.clone());
+                true
+            }
+            AnswerEnd::Refused(UpstreamCode::ReadOnly) => true,
+            AnswerEnd::Refused(UpstreamCode::ConnectionLimit | UpstreamCode::Other)
+            | AnswerEnd::Done => false,
+        };
+        let pauses = !matches!(answer.end, AnswerEnd::Refused(UpstreamCode::Lagging));
+        async move { again && (!pauses || pause_busy(&shared, deadline).await) }
+    }
+
+    fn accepts(&self, service: &str, number: Option<u64>) -> bool {
+        let view = self.shared.view.borrow();
+        number.is_some_and(|number| view.accepts_answer(self.shared.now(), service, number))
+    }
+
+    fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
+        self.position = answer.position;
+        CallerReply::Relayed(answer.body)
+    }
+
+    fn abort(&mut self, id: &[u8], hint: &'static str) -> CallerReply {
+        self.state.transaction = TransactionPhase::Failed;
+        refuse(id, CallerRefusal::Aborted, hint)
+    }
+
+    /// Ends a transaction that waited too long for its next statement.
+    pub(super) fn end_idle_transaction(&mut self) {
+        if self.pinned.is_some() {
+            self.state.transaction = TransactionPhase::Failed;
+            self.roll_back();
+        }
+    }
+
+    /// Rolls the pinned transaction back, without making the caller wait.
+    pub(super) fn roll_back(&mut self) {
+        if let Some(place) = self.pinned.take() {
+            self.roll_back_at(place);
+        }
+    }
+
+    fn roll_back_at(&self, mut place: RunPlace) {
+        let shared = self.shared.clone();
+        self.shared.tasks.spawn_local(async move {
+            let mut out = Vec::new();
+            shared.upstreams.encode_command(&mut out, UpstreamCommand::Rollback);
+            let deadline = Instant::now() + ROLLBACK_TIMEOUT;
+            let answer = run_at(&shared, &mut place, &out, 0, deadline).await;
+            if answer.is_ok_and(|answer| answer.phase == SessionPhase::Idle) {
+                place.link.release();
+            }
+        });
+    }
+}
+
+impl Drop for CallerSession {
+    fn drop(&mut self) {
+        self.roll_back();
+    }
+}
+
+/// Until when one attempt may take; a first read leaves time for a second.
+fn attempt_deadline(limits: &RunLimits<'_>, tried: &[InstanceKey]) -> Instant {
+    if limits.writes || !tried.is_empty() {
+        return limits.deadline;
+    }
+    let now = Instant::now();
+    now + limits.deadline.saturating_duration_since(now) * FIRST_READ_PERCENT / 100
+}
+
+fn unknown_statement() -> CallerReply {
+    CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
+}
+
+fn refuse_no_place(id: &[u8], no_place: NoPlace) -> CallerReply {
+    let hint = match no_place {
+        NoPlace::NoConnection => "no connection to the database was free; try again at once",
+        NoPlace::NoPrimary => "the primary is being replaced; try again in 500 ms",
+    };
+    refuse(id, CallerRefusal::NotRun, hint)
+}
+
+fn refuse(id: &[u8], refusal: CallerRefusal, hint: &'static str) -> CallerReply {
+    let request = String::from_utf8_lossy(id);
+    tracing::info!(target: "entry", %request, ?refusal, hint, "refused");
+    CallerReply::Refused(refusal, hint)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/entry_host.rs
@@ -0,0 +1,110 @@
+use std::{io, rc::Rc, time::Duration};
+
+use tokio::{
+    net::TcpListener,
+    sync::mpsc,
+    time::{Instant, sleep, sleep_until},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    EntrySettings,
+    control_links::ControlLinks,
+    entry_shared::{EntryShared, ShutdownStage},
+    session_task::serve_caller,
+};
+use crate::{
+    edges::{CallerProtocol, UpstreamProtocol},
+    links::bind_listener,
+};
+
+/// Time after which no new callers come to a host that says it is not ready:
+/// two readiness probes of a second each, and one on its way.
+const LEAVING_TIME: Duration = Duration::from_millis(2_300);
+/// Time at the end of the grace period that is left for the process to end.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks at what is still open while the host stops.
+const CLOSING_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A running entry host. Its tasks live on the current thread's local set.
+pub struct EntryHost {
+    shared: Rc<EntryShared>,
+}
+
+impl EntryHost {
+    /// Listens for callers and looks for control.
+    ///
+    /// # Errors
+    /// The system's error if the callers' address cannot be listened on.
+    pub fn start(
+        settings: EntrySettings,
+        callers: Box<dyn CallerProtocol>,
+        upstreams: Box<dyn UpstreamProtocol>,
+    ) -> io::Result<Self> {
+        let listener = bind_listener(settings.callers)?;
+        let (reports, received) = mpsc::unbounded_channel();
+        let cancel = CancellationToken::new();
+        let shared = Rc::new(EntryShared::new(settings, callers, upstreams, reports, cancel));
+        let tasks = shared.tasks.clone();
+        let links = ControlLinks::run(shared.clone(), received);
+        let cancelled = shared.cancel.clone();
+        tasks.spawn_local(async move {
+            let _ = cancelled.run_until_cancelled(links).await;
+        });
+        tasks.spawn_local(accept_callers(shared.clone(), listener));
+        Ok(Self { shared })
+    }
+
+    /// True if callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let view = self.shared.view.borrow();
+        self.shared.stage.get() == ShutdownStage::Serving
+            && view.routes_version() > 0
+            && view.has_lease(self.shared.now())
+    }
+
+    /// Serves on without new callers, closes sessions between statements, and
+    /// returns when nothing is open or the grace period is nearly over.
+    pub async fn shut_down(&self) {
+        let began = Instant::now();
+        let grace = self.shared.settings.grace;
+        let end = began + grace.saturating_sub(EXIT_MARGIN);
+        self.enter(ShutdownStage::Leaving);
+        sleep(LEAVING_TIME.min(grace / 2)).await;
+        self.enter(ShutdownStage::ClosingIdle);
+        let all_at = began + grace / 2;
+        self.wait_until(all_at).await;
+        self.enter(ShutdownStage::ClosingAll);
+        self.wait_until(end).await;
+        self.shared.cancel.cancel();
+    }
+
+    async fn wait_until(&self, until: Instant) {
+        while self.shared.sessions.get() > 0 && Instant::now() < until {
+            sleep_until(until.min(Instant::now() + CLOSING_INTERVAL)).await;
+        }
+    }
+
+    fn enter(&self, stage: ShutdownStage) {
+        tracing::info!(target: "entry", ?stage, sessions = self.shared.sessions.get(), "stopping");
+        self.shared.stage.set(stage);
+        self.shared.changed.notify_waiters();
+    }
+}
+
+async fn accept_callers(shared: Rc<EntryShared>, listener: TcpListener) {
+    let cancel = shared.cancel.clone();
+    while let Some(accepted) = cancel.run_until_cancelled(listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => {
+                shared.tasks.spawn_local(serve_caller(shared.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(target: "entry", %error, "a caller was not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -0,0 +1,150 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    rc::Rc,
+    sync::Arc,
+};
+
+use hawthornstack_decisions::{
+    clock::Moment,
+    control_host::EntryReport,
+    entry::EntryView,
+    instances::{InstanceKey, InstanceRecord},
+};
+use tokio::sync::{Notify, mpsc};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::{EntrySettings, database_pool::DatabasePool};
+use crate::{
+    clock::BootClock,
+    edges::{CallerProtocol, UpstreamProtocol},
+};
+
+/// How far a host is on its way to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ShutdownStage {
+    /// It serves.
+    Serving,
+    /// It says that it takes no new callers, and serves those that come.
+    Leaving,
+    /// Sessions without a transaction are closed between statements.
+    ClosingIdle,
+    /// All sessions are closed between statements.
+    ClosingAll,
+}
+
+/// What the tasks of an entry host share; all run on one thread.
+pub(super) struct EntryShared {
+    pub(super) settings: EntrySettings,
+    pub(super) callers: Box<dyn CallerProtocol>,
+    pub(super) upstreams: Box<dyn UpstreamProtocol>,
+    pub(super) clock: BootClock,
+    pub(super) view: RefCell<EntryView>,
+    /// Wakes tasks that wait for a lease, a primary or a database.
+    pub(super) changed: Notify,
+    pub(super) stage: Cell<ShutdownStage>,
+    pub(super) sessions: Cell<u32>,
+    pub(super) reports: mpsc::UnboundedSender<EntryReport>,
+    pub(super) probing: RefCell<BTreeSet<(Arc<str>, u64)>>,
+    pub(super) cancel: CancellationToken,
+    pub(super) tasks: TaskTracker,
+    pools: RefCell<HashMap<InstanceKey, Rc<DatabasePool>>>,
+    writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
+}
+
+impl EntryShared {
+    pub(super) fn new(
+        settings: EntrySettings,
+        callers: Box<dyn CallerProtocol>,
+        upstreams: Box<dyn UpstreamProtocol>,
+        reports: mpsc::UnboundedSender<EntryReport>,
+        cancel: CancellationToken,
+    ) -> Self {
+        let view = RefCell::new(EntryView::new(settings.data_centre.clone()));
+        Self {
+            settings,
+            callers,
+            upstreams,
+            clock: BootClock,
+            view,
+            changed: Notify::new(),
+            stage: Cell::new(ShutdownStage::Serving),
+            sessions: Cell::new(0),
+            reports,
+            probing: RefCell::new(BTreeSet::new()),
+            cancel,
+            tasks: TaskTracker::new(),
+            pools: RefCell::new(HashMap::new()),
+            writes: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The pool of connections to a database.
+    pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
+        let mut pools = self.pools.borrow_mut();
+        pools.entry(record.key.clone()).or_insert_with(|| DatabasePool::new(record)).clone()
+    }
+
+    /// Closes what is idle beyond this host's share, and the connections to
+    /// databases that are gone.
+    pub(super) fn tend_pools(&self) {
+        let view = self.view.borrow();
+        self.pools.borrow_mut().retain(|key, pool| {
+            let gone = view.instance(key).is_none();
+            pool.tend(self.idle_share(&view, pool), gone);
+            !(gone && pool.is_empty())
+        });
+    }
+
+    fn idle_share(&self, view: &EntryView, pool: &DatabasePool) -> usize {
+        let routes = view.routes();
+        let rule = routes.and_then(|table| table.service(&pool.record().service));
+        let limit = rule.map_or(1, |rule| rule.max_connections);
+        (limit / view.entry_hosts()).max(1) as usize
+    }
+
+    /// Connections that this host opens to a database at most: twice its even
+    /// share, since callers spread unevenly over hosts.
+    pub(super) fn connection_limit(&self, record: &InstanceRecord) -> usize {
+        let view = self.view.borrow();
+        let rule = view.routes().and_then(|table| table.service(&record.service));
+        let limit = rule.map_or(1, |rule| rule.max_connections);
+        (2 * limit).div_ceil(view.entry_hosts()).clamp(1, limit.max(1)) as usize
+    }
+
+    /// Counts a write or transaction that a planned change of primary waits
+    /// for.
+    pub(super) fn begin_write(self: &Rc<Self>, service: &Arc<str>, number: u64) -> WriteGuard {
+        let key = (service.clone(), number);
+        *self.writes.borrow_mut().entry(key.clone()).or_default() += 1;
+        WriteGuard { shared: self.clone(), key }
+    }
+
+    pub(super) fn open_writes(&self, service: &Arc<str>, number: u64) -> u32 {
+        self.writes.borrow().get(&(service.clone(), number)).copied().unwrap_or(0)
+    }
+}
+
+/// Counts one open write for as long as it lives.
+pub(super) struct WriteGuard {
+    shared: Rc<EntryShared>,
+    key: (Arc<str>, u64),
+}
+
+impl Drop for WriteGuard {
+    fn drop(&mut self) {
+        let mut writes = self.shared.writes.borrow_mut();
+        if let Some(count) = writes.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                writes.remove(&self.key);
+                drop(writes);
+                self.shared.changed.notify_waiters();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! An entry host: takes callers' sessions and runs their statements on shared
+//! connections to the databases.
+
+mod caller_session;
+mod control_links;
+mod database_pool;
+mod entry_host;
+mod entry_settings;
+mod entry_shared;
+mod primary_probe;
+mod session_task;
+mod statement_run;
+mod upstream_link;
+
+pub use entry_host::EntryHost;
+pub use entry_settings::EntrySettings;
--- /dev/null
+++ b/crates/daemon/src/entry/session_task.rs
@@ -0,0 +1,171 @@
+use std::{io, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep_until, timeout, timeout_at},
+};
+
+use super::{
+    caller_session::{CallerReply, CallerSession},
+    entry_shared::{EntryShared, ShutdownStage},
+};
+use crate::{
+    edges::{CallerRefusal, CallerRequest, SessionPhase},
+    links::{LineStream, prepare_socket},
+};
+
+/// Time for a caller to name its database.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which a caller waits for this host's first configuration.
+const ROUTES_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence of a caller with unacknowledged data after which it is gone.
+const CALLER_SILENCE: Duration = Duration::from_secs(5);
+
+/// Serves one caller until it leaves or the host closes its session.
+pub(super) async fn serve_caller(shared: Rc<EntryShared>, stream: TcpStream) {
+    if prepare_socket(&stream, CALLER_SILENCE).is_err() {
+        return;
+    }
+    shared.sessions.set(shared.sessions.get() + 1);
+    let mut lines = LineStream::new(stream);
+    if let Err(error) = run_session(&shared, &mut lines).await {
+        tracing::debug!(target: "entry", %error, "a caller's connection broke");
+    }
+    shared.sessions.set(shared.sessions.get() - 1);
+}
+
+async fn run_session(shared: &Rc<EntryShared>, lines: &mut LineStream) -> io::Result<()> {
+    let mut out = Vec::new();
+    let Some(database) = open_session(shared, lines, &mut out).await? else {
+        return lines.send(&out).await;
+    };
+    let mut session = CallerSession::new(shared, database);
+    shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
+    lines.send(&out).await?;
+    while let Some(line) = next_message(shared, lines, &mut session).await? {
+        out.clear();
+        match shared.callers.decode_request(&line) {
+            Ok(CallerRequest::Terminate) => return Ok(()),
+            Ok(CallerRequest::Statement(statement)) => {
+                let reply = session.run(&statement).await;
+                encode_reply(shared, &mut out, reply, &session);
+            }
+            Ok(CallerRequest::Connect { .. }) => {
+                refuse_malformed(shared, &mut out, "the session is open already", &session);
+            }
+            Err(error) => refuse_malformed(shared, &mut out, error.reason, &session),
+        }
+        lines.send(&out).await?;
+        lines.shrink();
+    }
+    Ok(())
+}
+
+/// Reads which database the caller wants; `None` with an answer in `out` if
+/// there is no session.
+async fn open_session(
+    shared: &Rc<EntryShared>,
+    lines: &mut LineStream,
+    out: &mut Vec<u8>,
+) -> io::Result<Option<Arc<str>>> {
+    let Ok(first) = timeout(CONNECT_TIMEOUT, lines.next_line()).await else {
+        return Ok(None);
+    };
+    let Some(line) = first? else {
+        return Ok(None);
+    };
+    let database = match shared.callers.decode_request(&line) {
+        Ok(CallerRequest::Connect { database }) => database,
+        Ok(_) => {
+            let hint = "name a database first";
+            shared.callers.encode_refusal(out, CallerRefusal::Malformed, hint);
+            return Ok(None);
+        }
+        Err(error) => {
+            shared.callers.encode_refusal(out, CallerRefusal::Malformed, error.reason);
+            return Ok(None);
+        }
+    };
+    wait_for_routes(shared).await;
+    if shared.view.borrow().route(&database).is_some() {
+        return Ok(Some(database));
+    }
+    let hint = "no route has this name";
+    shared.callers.encode_refusal(out, CallerRefusal::UnknownDatabase, hint);
+    Ok(None)
+}
+
+/// Waits until this host has a configuration, as it may after its start.
+async fn wait_for_routes(shared: &EntryShared) {
+    let deadline = Instant::now() + ROUTES_TIMEOUT;
+    loop {
+        let changed = shared.changed.notified();
+        let known = shared.view.borrow().routes_version() > 0;
+        if known || timeout_at(deadline, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The caller's next message; `None` if the session is over.
+async fn next_message(
+    shared: &Rc<EntryShared>,
+    lines: &mut LineStream,
+    session: &mut CallerSession,
+) -> io::Result<Option<Bytes>> {
+    let mut idle_until = session.idle_limit().map(|limit| Instant::now() + limit);
+    loop {
+        let changed = shared.changed.notified();
+        let closes = match shared.stage.get() {
+            ShutdownStage::Serving | ShutdownStage::Leaving => false,
+            ShutdownStage::ClosingIdle => session.is_idle(),
+            ShutdownStage::ClosingAll => true,
+        };
+        if closes && let Some(line) = lines.take_line() {
+            return Ok(Some(line));
+        }
+        if closes {
+            return Ok(None);
+        }
+        let idle = async {
+            match idle_until {
+                Some(until) => sleep_until(until).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            line = lines.next_line() => return line,
+            () = idle => {
+                session.end_idle_transaction();
+                idle_until = None;
+            }
+            () = changed => {}
+        }
+    }
+}
+
+fn encode_reply(
+    shared: &EntryShared,
+    out: &mut Vec<u8>,
+    reply: CallerReply,
+    session: &CallerSession,
+) {
+    match reply {
+        CallerReply::Done => shared.callers.encode_done(out),
+        CallerReply::Relayed(body) => out.extend_from_slice(&body),
+        CallerReply::Refused(refusal, hint) => shared.callers.encode_refusal(out, refusal, hint),
+    }
+    shared.callers.encode_ready(out, session.phase(), session.position);
+}
+
+fn refuse_malformed(
+    shared: &EntryShared,
+    out: &mut Vec<u8>,
+    hint: &str,
+    session: &CallerSession,
+) {
+    shared.callers.encode_refusal(out, CallerRefusal::Malformed, hint);
+    shared.callers.encode_ready(out, session.phase(), session.position);
+}
--- /dev/null
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -0,0 +1,258 @@
+use std::{future::Future, pin::pin, rc::Rc, sync::Arc, time::Duration};
+
+use hawthornstack_decisions::{
+    clock::Moment,
+    entry::{PrimaryUse, ReadTarget, RestoreStep, SessionState},
+    instances::{InstanceKey, InstanceRecord},
+    positions::LogPosition,
+    routes::{RouteKind, RouteRule},
+};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use super::{
+    database_pool::{AcquireError, PooledLink},
+    entry_shared::{EntryShared, WriteGuard},
+    primary_probe::probe_primary,
+    upstream_link::{LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
+};
+use crate::edges::{CallerStatement, StatementAction, UpstreamCommand};
+
+/// Time without an answer after which a primary is probed: longer than nearly
+/// all statements, shorter than the usual timeouts.
+const PROBE_AFTER: Duration = Duration::from_millis(300);
+/// Pause before a database that had no room is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(8);
+/// Pause after a database could not be reached.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A connection to run on, and in which term if it is the primary's.
+pub(super) struct RunPlace {
+    pub(super) link: PooledLink,
+    pub(super) service: Arc<str>,
+    /// The term if the connection leads to the primary.
+    pub(super) number: Option<u64>,
+    /// Position that a replica must hold.
+    pub(super) after: Option<LogPosition>,
+    pub(super) _guard: Option<WriteGuard>,
+}
+
+/// Why there is no place to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoPlace {
+    /// The time was up before a connection was had.
+    NoConnection,
+    /// The time was up before the primary could be used.
+    NoPrimary,
+}
+
+/// What a statement may use until when.
+pub(super) struct RunLimits<'a> {
+    pub(super) route: &'a RouteRule,
+    pub(super) deadline: Instant,
+    pub(super) needs_primary: bool,
+    pub(super) writes: bool,
+    pub(super) last_commit: Option<LogPosition>,
+}
+
+/// Finds a database that may run the statement, and a connection to it.
+pub(super) async fn find_place(
+    shared: &Rc<EntryShared>,
+    limits: &RunLimits<'_>,
+    tried: &mut Vec<InstanceKey>,
+) -> Result<RunPlace, NoPlace> {
+    let service = &limits.route.service;
+    loop {
+        let now = shared.now();
+        let changed = shared.changed.notified();
+        let (record, number, after) = match choose(shared, now, limits, tried) {
+            Some(choice) => choice,
+            None => {
+                if timeout_at(limits.deadline, changed).await.is_err() {
+                    return Err(NoPlace::NoPrimary);
+                }
+                continue;
+            }
+        };
+        let pool = shared.pool(&record);
+        match pool.acquire(shared, limits.route.priority, limits.deadline).await {
+            Ok(link) => {
+                if !still_usable(shared, service, number) {
+                    link.release();
+                    continue;
+                }
+                let guard = number.map(|number| shared.begin_write(service, number));
+                let guard = guard.filter(|_| limits.writes);
+                return Ok(RunPlace { link, service: service.clone(), number, after, _guard: guard });
+            }
+            Err(AcquireError::OutOfTime) => return Err(NoPlace::NoConnection),
+            Err(AcquireError::Misrouted) => note_failure(shared, &record.key, None, service),
+            Err(AcquireError::Unreachable) => note_failure(shared, &record.key, number, service),
+        }
+        match number {
+            Some(_) => sleep(UNREACHABLE_PAUSE).await,
+            None => tried.push(record.key),
+        }
+        if Instant::now() >= limits.deadline {
+            return Err(NoPlace::NoConnection);
+        }
+    }
+}
+
+type DatabaseChoice = (InstanceRecord, Option<u64>, Option<LogPosition>);
+
+fn choose(
+    shared: &EntryShared,
+    now: Moment,
+    limits: &RunLimits<'_>,
+    tried: &[InstanceKey],
+) -> Option<DatabaseChoice> {
+    let view = shared.view.borrow();
+    let service = &limits.route.service;
+    if !limits.needs_primary && limits.route.kind != RouteKind::Primary {
+        let need = view.read_need(now, limits.route, limits.last_commit);
+        if let ReadTarget::Replica { record, position } =
+            view.read_target(now, service, need, tried)
+        {
+            return Some((record, None, Some(position)));
+        }
+    }
+    match view.primary(now, service) {
+        PrimaryUse::Usable { record, number } => Some((record, Some(number), None)),
+        PrimaryUse::NotNow => None,
+    }
+}
+
+/// True if the primary of the term may still be used; replicas always may.
+fn still_usable(shared: &EntryShared, service: &str, number: Option<u64>) -> bool {
+    let Some(number) = number else {
+        return true;
+    };
+    let usable = shared.view.borrow().primary(shared.now(), service);
+    matches!(usable, PrimaryUse::Usable { number: current, .. } if current == number)
+}
+
+/// Notes that a database broke off or could not be reached.
+pub(super) fn note_failure(
+    shared: &Rc<EntryShared>,
+    key: &InstanceKey,
+    number: Option<u64>,
+    service: &Arc<str>,
+) {
+    shared.view.borrow_mut().loads.failed(shared.now(), key);
+    if let Some(number) = number {
+        probe_primary(shared, service, number);
+    }
+}
+
+/// Runs one exchange at a place until `deadline`, and learns from the answer.
+pub(super) async fn run_at(
+    shared: &Rc<EntryShared>,
+    place: &mut RunPlace,
+    out: &[u8],
+    restoring: usize,
+    deadline: Instant,
+) -> Result<UpstreamAnswer, LinkError> {
+    let key = place.link.record().key.clone();
+    let (service, number) = (place.service.clone(), place.number);
+    let Some(link) = place.link.link() else {
+        return Err(LinkError::Broken);
+    };
+    let sent_at = shared.now();
+    shared.view.borrow_mut().loads.started(&key);
+    let exchange = link.exchange(&*shared.upstreams, out, restoring);
+    let result = watch_exchange(shared, &service, number, deadline, exchange).await;
+    let now = shared.now();
+    let mut view = shared.view.borrow_mut();
+    view.loads.finished(&key, result.is_ok().then(|| now.since(sent_at)));
+    if let Ok(UpstreamAnswer { position: Some(position), .. }) = &result {
+        view.loads.saw_position(&key, *position);
+        if let Some(number) = number {
+            view.saw_primary(now, &service, number, sent_at, *position);
+        }
+    }
+    drop(view);
+    if matches!(result, Err(LinkError::Broken | LinkError::TimedOut)) {
+        note_failure(shared, &key, number, &service);
+    }
+    result
+}
+
+/// Waits for an answer; probes a primary that is slow to answer, and gives up
+/// on one that was replaced.
+async fn watch_exchange(
+    shared: &Rc<EntryShared>,
+    service: &Arc<str>,
+    number: Option<u64>,
+    deadline: Instant,
+    exchange: impl Future<Output = Result<UpstreamAnswer, LinkError>>,
+) -> Result<UpstreamAnswer, LinkError> {
+    let mut exchange = pin!(exchange);
+    let mut probe_at = number.map(|_| Instant::now() + PROBE_AFTER);
+    loop {
+        let wake_at = probe_at.map_or(deadline, |at| at.min(deadline));
+        tokio::select! {
+            biased;
+            result = &mut exchange => return result,
+            () = sleep_until(wake_at) => match (probe_at.take(), number) {
+                (Some(at), Some(number)) if at < deadline => {
+                    probe_primary(shared, service, number);
+                }
+                _ => return Err(LinkError::TimedOut),
+            },
+            () = shared.changed.notified(), if number.is_some() => {
+                let view = shared.view.borrow();
+                let term = view.term(service);
+                let current = number.is_some_and(|number| {
+                    term.is_some_and(|term| term.accepts_answers(number))
+                });
+                if !current {
+                    return Err(LinkError::TermChanged);
+                }
+            }
+        }
+    }
+}
+
+/// Appends what restores the session, then the statement; returns how many
+/// statements come before it.
+pub(super) fn encode_statement(
+    shared: &EntryShared,
+    link: &mut UpstreamLink,
+    session: &SessionState,
+    statement: &CallerStatement,
+    after: Option<LogPosition>,
+    out: &mut Vec<u8>,
+) -> usize {
+    let protocol = &*shared.upstreams;
+    let mut steps: Vec<RestoreStep> = link.state.restore_values(session);
+    let id = &statement.id;
+    let StatementAction::Execute { name, arguments } = &statement.action else {
+        encode_steps(protocol, out, &steps);
+        let text = &statement.text;
+        protocol.encode_command(out, UpstreamCommand::Statement { id, after, text });
+        return steps.len();
+    };
+    let Some(prepared) = session.prepared.get(name) else {
+        // The caller's session refuses unknown names before it comes here.
+        return steps.len();
+    };
+    let (name, step) = link.state.prepared_name(prepared);
+    steps.extend(step);
+    encode_steps(protocol, out, &steps);
+    let name = &*name;
+    protocol.encode_command(out, UpstreamCommand::Execute { id, after, name, arguments });
+    steps.len()
+}
+
+/// Waits before a database without room is asked again; false if the time is
+/// up.
+pub(super) async fn pause_busy(shared: &EntryShared, deadline: Instant) -> bool {
+    // The boot clock's low bits spread the hosts' attempts.
+    let jitter = Duration::from_micros(shared.now().as_micros() % 8_000);
+    let until = Instant::now() + BUSY_PAUSE + jitter;
+    if until >= deadline {
+        return false;
+    }
+    sleep_until(until).await;
+    true
+}
--- /dev/null
+++ b/crates/daemon/src/entry/upstream_link.rs
@@ -0,0 +1,193 @@
+use std::{io, time::Duration};
+
+use hawthornstack_decisions::{
+    entry::{ConnectionState, RestoreStep},
+    instances::InstanceRecord,
+    positions::LogPosition,
+};
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::{
+    edges::{SessionPhase, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply},
+    links::{LineStream, prepare_socket},
+};
+
+/// Time for a TCP connection to a database: many times the way across a
+/// region, and below the shortest statement timeouts.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for a database to take a connection, which waits for a slot there.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Silence on a connection with unacknowledged data after which it is broken.
+const UPSTREAM_SILENCE: Duration = Duration::from_millis(600);
+
+/// Why a connection was not opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OpenError {
+    /// The database did not answer.
+    Unreachable,
+    /// The database takes no more connections.
+    Full,
+    /// Another database stands at the address.
+    Misrouted,
+}
+
+/// Why a statement has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkError {
+    /// The connection broke.
+    Broken,
+    /// The time was up.
+    TimedOut,
+    /// The database is no longer the primary of the term.
+    TermChanged,
+}
+
+/// How a statement's answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerEnd {
+    Done,
+    Refused(UpstreamCode),
+}
+
+/// A database's whole answer to one statement.
+#[derive(Debug)]
+pub(super) struct UpstreamAnswer {
+    /// Rows, result and refusal as they came.
+    pub(super) body: Vec<u8>,
+    pub(super) end: AnswerEnd,
+    pub(super) phase: SessionPhase,
+    pub(super) position: Option<LogPosition>,
+}
+
+/// A connection to a database and the session state on it.
+#[derive(Debug)]
+pub(super) struct UpstreamLink {
+    lines: LineStream,
+    pub(super) state: ConnectionState,
+}
+
+impl UpstreamLink {
+    /// Connects to exactly this start of a database.
+    pub(super) async fn open(
+        protocol: &dyn UpstreamProtocol,
+        record: &InstanceRecord,
+        caller: &str,
+    ) -> Result<Self, OpenError> {
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(record.address)).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(OpenError::Unreachable);
+        };
+        prepare_socket(&stream, UPSTREAM_SILENCE).map_err(|_| OpenError::Unreachable)?;
+        let mut link = Self { lines: LineStream::new(stream), state: ConnectionState::default() };
+        let mut out = Vec::new();
+        let open =
+            UpstreamCommand::Open { service: &record.service, caller, instance: &record.key.id };
+        protocol.encode_command(&mut out, open);
+        match timeout(OPEN_TIMEOUT, link.opened(protocol, &out)).await {
+            Ok(Ok(result)) => result.map(|()| link),
+            _ => Err(OpenError::Unreachable),
+        }
+    }
+
+    async fn opened(
+        &mut self,
+        protocol: &dyn UpstreamProtocol,
+        out: &[u8],
+    ) -> io::Result<Result<(), OpenError>> {
+        self.lines.send(out).await?;
+        loop {
+            let reply = self.next_reply(protocol, None).await?;
+            match reply {
+                UpstreamReply::Ready { .. } => return Ok(Ok(())),
+                UpstreamReply::Refused(UpstreamCode::Misrouted) => {
+                    return Ok(Err(OpenError::Misrouted));
+                }
+                UpstreamReply::Refused(UpstreamCode::ConnectionLimit | UpstreamCode::Busy) => {
+                    return Ok(Err(OpenError::Full));
+                }
+                UpstreamReply::Refused(_) => return Ok(Err(OpenError::Unreachable)),
+                UpstreamReply::Row | UpstreamReply::Done => {}
+            }
+        }
+    }
+
+    /// Sends statements and reads their answers; `restoring` of them come
+    /// first and must succeed.
+    pub(super) async fn exchange(
+        &mut self,
+        protocol: &dyn UpstreamProtocol,
+        out: &[u8],
+        restoring: usize,
+    ) -> Result<UpstreamAnswer, LinkError> {
+        self.lines.send(out).await.map_err(|_| LinkError::Broken)?;
+        for _ in 0..restoring {
+            let answer = self.read_answer(protocol).await?;
+            if answer.end != AnswerEnd::Done {
+                return Err(LinkError::Broken);
+            }
+        }
+        let answer = self.read_answer(protocol).await?;
+        self.lines.shrink();
+        Ok(answer)
+    }
+
+    async fn read_answer(
+        &mut self,
+        protocol: &dyn UpstreamProtocol,
+    ) -> Result<UpstreamAnswer, LinkError> {
+        let mut body = Vec::new();
+        let mut end = None;
+        loop {
+            let reply = self.next_reply(protocol, Some(&mut body)).await;
+            match (reply.map_err(|_| LinkError::Broken)?, end) {
+                (UpstreamReply::Row, None) => {}
+                (UpstreamReply::Done, None) => end = Some(AnswerEnd::Done),
+                (UpstreamReply::Refused(code), None) => end = Some(AnswerEnd::Refused(code)),
+                (UpstreamReply::Ready { phase, position }, Some(end)) => {
+                    return Ok(UpstreamAnswer { body, end, phase, position });
+                }
+                _ => return Err(LinkError::Broken),
+            }
+        }
+    }
+
+    /// Reads one message; all but the end of an answer are kept in `body`.
+    async fn next_reply(
+        &mut self,
+        protocol: &dyn UpstreamProtocol,
+        body: Option<&mut Vec<u8>>,
+    ) -> io::Result<UpstreamReply> {
+        let line = self.lines.next_line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let reply = protocol
+            .decode_reply(&line)
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+        if let Some(body) = body
+            && !matches!(reply, UpstreamReply::Ready { .. })
+        {
+            body.extend_from_slice(&line);
+            body.extend_from_slice(b"\r\n");
+        }
+        Ok(reply)
+    }
+
+    /// True if the connection can be used for another statement.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.lines.is_quiet()
+    }
+}
+
+/// Appends the statements that restore a session.
+pub(super) fn encode_steps(
+    protocol: &dyn UpstreamProtocol,
+    out: &mut Vec<u8>,
+    steps: &[RestoreStep],
+) {
+    for step in steps {
+        let command = match step {
+            RestoreStep::Reset => UpstreamCommand::Reset,
+            RestoreStep::SetValue { name, value } => UpstreamCommand::SetValue { name, value },
+            RestoreStep::Prepare { name, prepared } => UpstreamCommand::Prepare { name, prepared },
+        };
+        protocol.encode_command(out, command);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,9 +2,14 @@
 //! carry out their effects.
 
 pub mod callers;
+pub mod clock;
+pub mod control;
+pub mod edges;
+pub mod entry;
 pub mod host;
 pub mod journal;
 pub mod kernel;
+pub mod links;
 pub mod logs;
 pub mod metrics;
 pub mod operators;
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -17,8 +17,9 @@
     identity::HostId,
 };
 
-/// Entries kept in memory before a snapshot replaces them.
-const COMPACTION_ENTRIES: usize = 2_048;
+/// Entries kept in memory before a snapshot replaces them, unless the settings
+/// say otherwise.
+pub const COMPACTION_ENTRIES: usize = 2_048;
 /// Share of the election timeout for which a leader's lease holds; the rest
 /// covers the drift between two hosts' clocks.
 const LEASE_DRIFT_PERCENT: u32 = 90;
@@ -47,6 +48,8 @@
     pub heartbeat_interval: Duration,
     /// Voters of a deployment that is formed for the first time.
     pub first_voters: BTreeSet<HostId>,
+    /// Entries kept in memory before a snapshot replaces them.
+    pub compaction_entries: usize,
     /// Seed for election timeouts and disk numbers; differs at every start.
     pub seed: u64,
 }
@@ -216,7 +219,7 @@
     /// Replaces the log up to `state.applied` by a snapshot once it has grown
     /// long enough. Effects must be carried out as for a step.
     pub fn compact(&mut self, state: &ControlState, index: u64) -> Vec<AgreementEffect> {
-        if self.log.len() < COMPACTION_ENTRIES || index > self.commit {
+        if self.log.len() < self.settings.compaction_entries || index > self.commit {
             return Vec::new();
         }
         let Some(term) = self.log.term_at(index) else {
@@ -233,6 +236,25 @@
         self.finish()
     }
 
+    /// When time alone changes something.
+    pub fn next_due(&self) -> Moment {
+        match &self.role {
+            AgreementRole::Leader(leader) => leader.heartbeat_due,
+            _ => self.election_due,
+        }
+    }
+
+    /// Lets a host that asks to join follow the log of this leader; it becomes
+    /// a voter once it has caught up.
+    pub fn admit_learner(&mut self, now: Moment, host: HostId) {
+        let first = self.log.last_index() + 1;
+        if let AgreementRole::Leader(leader) = &mut self.role
+            && host != self.me
+        {
+            leader.followers.entry(host).or_insert_with(|| FollowerProgress::new(first, now));
+        }
+    }
+
     /// The leader, as far as known.
     pub fn leader(&self) -> Option<HostId> {
         self.leader
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::{
     AgreementEffect, AgreementMessage, AgreementState, AppendMessage, AppendReply, EntryPayload,
     LogEntry, StateSnapshot,
@@ -7,6 +9,12 @@
 
 /// Entries sent in one message.
 const APPEND_ENTRIES: usize = 256;
+/// Silence after which a voter leaves, if another one has taken its place.
+const REPLACED_SILENCE: Duration = Duration::from_secs(4);
+/// Silence after which a host that does not vote is no longer followed.
+const LEARNER_SILENCE: Duration = Duration::from_secs(10);
+/// Fewest voters that stay when a silent one leaves: three bear one loss.
+const FEWEST_VOTERS: usize = 3;
 
 impl FollowerProgress {
     pub(super) fn new(next_index: u64, now: Moment) -> Self {
@@ -262,12 +270,21 @@
             let answers_for_voters = follower.match_index >= self.log.last_voters_index();
             voters.contains(host) && !follower.eligible && answers_for_voters
         });
+        let silence = |follower: &FollowerProgress| {
+            now.since(follower.acknowledged_at.unwrap_or(leader.elected_at))
+        };
         let caught_up = leader.followers.iter().find(|(host, follower)| {
             !voters.contains(host)
                 && follower.match_index >= self.commit
                 && follower.acknowledged_at.is_some()
+                && silence(follower) < self.settings.election_timeout
+        });
+        // An even set bears no more losses than the set with one voter less.
+        let spare = voters.len() > FEWEST_VOTERS && voters.len().is_multiple_of(2);
+        let replaced = leader.followers.iter().find(|(host, follower)| {
+            spare && voters.contains(host) && silence(follower) >= REPLACED_SILENCE
         });
-        match (lost, caught_up) {
+        match (lost.or(replaced), caught_up) {
             (Some((host, _)), _) => {
                 let host = *host;
                 voters.remove(&host);
@@ -276,7 +293,15 @@
                 let host = *host;
                 voters.insert(host);
             }
-            (None, None) => return,
+            (None, None) => {
+                leader.followers.retain(|host, follower| {
+                    voters.contains(host)
+                        || self.settings.first_voters.contains(host)
+                        || now.since(follower.acknowledged_at.unwrap_or(leader.elected_at))
+                            < LEARNER_SILENCE
+                });
+                return;
+            }
         }
         let _ = self.change_voters(now, voters);
     }
--- a/crates/decisions/src/control/control_command.rs
+++ b/crates/decisions/src/control/control_command.rs
@@ -3,7 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::{GroupRecord, HostRecord, MemberRecord, Plan};
-use crate::identity::{DatabaseName, GroupName, HostId};
+use crate::{
+    identity::{DatabaseName, GroupName, HostId},
+    instances::InstanceKey,
+    routes::RouteTable,
+};
 
 /// A change of the replicated configuration.
 ///
@@ -67,4 +71,47 @@
         /// Wall-clock time, in milliseconds since 1970.
         at_unix_ms: u64,
     },
+    /// An operator sent a whole configuration; the highest version wins.
+    RoutesReplaced {
+        /// The configuration.
+        table: Arc<RouteTable>,
+        /// Wall-clock time, in milliseconds since 1970.
+        at_unix_ms: u64,
+    },
+    /// A host may hold leases from now on.
+    HolderJoined(HostId),
+    /// A host holds no lease and is forgotten.
+    HolderLeft(HostId),
+    /// The first primary of a service is known, or the primary started again.
+    ServicePrimaryKnown {
+        /// The service.
+        service: Arc<str>,
+        /// Its primary.
+        primary: InstanceKey,
+    },
+    /// The service's primary is to be replaced.
+    ServiceTermEnded {
+        /// The service.
+        service: Arc<str>,
+        /// The term that ends.
+        number: u64,
+        /// The change was asked for.
+        planned: bool,
+    },
+    /// A database is to lead the next term of a service.
+    ServicePrimaryChosen {
+        /// The service.
+        service: Arc<str>,
+        /// The term that ended.
+        number: u64,
+        /// The database.
+        chosen: InstanceKey,
+    },
+    /// The chosen database leads.
+    ServiceTermStarted {
+        /// The service.
+        service: Arc<str>,
+        /// The term that ended.
+        number: u64,
+    },
 }
--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -10,6 +13,8 @@
 use crate::{
     identity::{DatabaseName, GroupName, HostId},
     outcomes::ResultCode,
+    primaries::ServiceTerm,
+    routes::RouteTable,
 };
 
 /// Plans kept for confirmation; the oldest goes first.
@@ -52,6 +57,15 @@
     pub answers: IndexMap<Arc<str>, ControlAnswer>,
     /// The audit trail, oldest first.
     pub audit: Vec<AuditRecord>,
+    /// The operator's whole configuration.
+    #[serde(default)]
+    pub routes: Option<Arc<RouteTable>>,
+    /// Primaries by service.
+    #[serde(default)]
+    pub terms: BTreeMap<Arc<str>, ServiceTerm>,
+    /// Hosts that may hold leases.
+    #[serde(default)]
+    pub holders: BTreeSet<HostId>,
 }
 
 impl ControlState {
@@ -101,6 +115,27 @@
             ControlCommand::PlanConfirmed { request, plan, operator, at_unix_ms } => {
                 self.confirm_plan(request, plan, operator, *at_unix_ms);
             }
+            ControlCommand::RoutesReplaced { table, at_unix_ms } => {
+                self.replace_routes(table, *at_unix_ms);
+            }
+            ControlCommand::HolderJoined(host) => {
+                self.holders.insert(*host);
+            }
+            ControlCommand::HolderLeft(host) => {
+                self.holders.remove(host);
+            }
+            ControlCommand::ServicePrimaryKnown { service, primary } => {
+                self.know_primary(service, primary);
+            }
+            ControlCommand::ServiceTermEnded { service, number, planned } => {
+                self.end_service_term(service, *number, *planned);
+            }
+            ControlCommand::ServicePrimaryChosen { service, number, chosen } => {
+                self.choose_service_primary(service, *number, chosen);
+            }
+            ControlCommand::ServiceTermStarted { service, number } => {
+                self.start_service_term(service, *number);
+            }
         }
     }
 
@@ -279,7 +314,7 @@
         accepted.skip(skipped).flat_map(|record| record.changes.clone()).collect()
     }
 
-    fn record_audit(
+    pub(super) fn record_audit(
         &mut self,
         operator: &Arc<str>,
         plan: &Arc<str>,
@@ -315,6 +350,7 @@
             PlannedChange::RemoveService(name) => {
                 self.services.remove(name);
             }
+            PlannedChange::ReplaceRoutes(_) => {}
             PlannedChange::SetDatabaseDraining(database, draining) => {
                 self.set_draining(database, *draining);
             }
--- a/crates/decisions/src/control/mod.rs
+++ b/crates/decisions/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod group_record;
 mod host_record;
 mod plan;
+mod service_terms;
 
 pub use audit_record::{AuditRecord, verify_chain};
 pub use control_command::ControlCommand;
--- a/crates/decisions/src/control/plan.rs
+++ b/crates/decisions/src/control/plan.rs
@@ -40,6 +40,8 @@
     SetDatabaseDraining(DatabaseName, bool),
     /// A host starts or stops draining.
     SetHostDraining(HostId, bool),
+    /// A whole configuration with this version is in force.
+    ReplaceRoutes(u64),
 }
 
 impl fmt::Display for PlannedChange {
@@ -69,6 +71,7 @@
             Self::SetDatabaseDraining(name, false) => {
                 write!(f, "restore database {name}: its homes send it work again")
             }
+            Self::ReplaceRoutes(version) => write!(f, "replace all routes by version {version}"),
             Self::SetHostDraining(host, true) => {
                 write!(f, "drain host {host}: it takes no new callers and lets requests finish")
             }
--- /dev/null
+++ b/crates/decisions/src/control/service_terms.rs
@@ -0,0 +1,97 @@
+use std::sync::Arc;
+
+use super::{ControlState, PlannedChange};
+use crate::{
+    instances::InstanceKey,
+    outcomes::ResultCode,
+    primaries::{ServiceTerm, TermPhase},
+    routes::RouteTable,
+};
+
+/// Who is named in the audit trail for orders that carry no operator's name.
+const UNNAMED_OPERATOR: &str = "platform";
+
+impl ControlState {
+    /// The version of the configuration in force, 0 before the first.
+    pub fn routes_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |table| table.version)
+    }
+
+    pub(super) fn replace_routes(&mut self, table: &Arc<RouteTable>, at_unix_ms: u64) {
+        if self.routes.is_some() && table.version <= self.routes_version() {
+            return;
+        }
+        self.routes = Some(table.clone());
+        let name = Arc::from(format!("routes-{}", table.version));
+        let changes = vec![PlannedChange::ReplaceRoutes(table.version)];
+        self.record_audit(&Arc::from(UNNAMED_OPERATOR), &name, changes, ResultCode::Done, at_unix_ms);
+    }
+
+    /// Sets the first primary of a service, or the new start of its present
+    /// one.
+    pub(super) fn know_primary(&mut self, service: &Arc<str>, primary: &InstanceKey) {
+        let since_index = self.applied;
+        match self.terms.get_mut(service) {
+            Some(term) if term.is_steady() && term.primary.id == primary.id => {
+                if term.primary.born_ms < primary.born_ms {
+                    term.primary = primary.clone();
+                    term.number += 1;
+                    term.since_index = since_index;
+                }
+            }
+            Some(_) => {}
+            None => {
+                let term = ServiceTerm {
+                    service: service.clone(),
+                    number: 1,
+                    since_index,
+                    primary: primary.clone(),
+                    phase: TermPhase::Steady,
+                };
+                self.terms.insert(service.clone(), term);
+            }
+        }
+    }
+
+    pub(super) fn end_service_term(&mut self, service: &Arc<str>, number: u64, planned: bool) {
+        let since_index = self.applied;
+        let Some(term) = self.terms.get_mut(service).filter(|term| term.number == number) else {
+            return;
+        };
+        let fenced_for_plan = term.phase == TermPhase::Fencing { planned: true };
+        if matches!(term.phase, TermPhase::Fencing { .. }) && !(fenced_for_plan && !planned) {
+            return;
+        }
+        term.phase = TermPhase::Fencing { planned };
+        term.since_index = since_index;
+    }
+
+    pub(super) fn choose_service_primary(
+        &mut self,
+        service: &Arc<str>,
+        number: u64,
+        chosen: &InstanceKey,
+    ) {
+        let since_index = self.applied;
+        if let Some(term) = self.terms.get_mut(service)
+            && term.number == number
+            && matches!(term.phase, TermPhase::Fencing { .. })
+        {
+            term.phase = TermPhase::Promoting { chosen: chosen.clone() };
+            term.since_index = since_index;
+        }
+    }
+
+    pub(super) fn start_service_term(&mut self, service: &Arc<str>, number: u64) {
+        let since_index = self.applied;
+        if let Some(term) = self.terms.get_mut(service)
+            && term.number == number
+            && let TermPhase::Promoting { chosen } = &term.phase
+        {
+            term.primary = chosen.clone();
+            term.number += 1;
+            term.since_index = since_index;
+            term.phase = TermPhase::Steady;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control_host/directory_flow.rs
@@ -0,0 +1,87 @@
+use super::{ControlEffect, ControlHost, ControlMessage, ControlNote, EntryUpdate};
+use crate::{
+    clock::Moment,
+    instances::{DirectoryChange, InstanceDeparture, InstanceRecord},
+};
+
+impl ControlHost {
+    /// A database announced itself at this host.
+    pub(super) fn announced(&mut self, now: Moment, record: InstanceRecord) {
+        match self.directory.announce(now, &record) {
+            DirectoryChange::Stale => {}
+            DirectoryChange::Refreshed => {
+                // Only the leader forgets silent databases.
+                if let Some(leader) = self.agreement.leader().filter(|l| *l != self.settings.me) {
+                    self.send_peer(leader, ControlMessage::Announced(vec![record]));
+                }
+            }
+            DirectoryChange::Changed => {
+                self.note_instance(&record);
+                self.update_entries(EntryUpdate::Announced(vec![record.clone()]));
+                self.tell_peers(&ControlMessage::Announced(vec![record]));
+                self.lead(now);
+            }
+        }
+    }
+
+    pub(super) fn announced_elsewhere(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+        let changed: Vec<InstanceRecord> = records
+            .into_iter()
+            .filter(|record| self.directory.announce(now, record) == DirectoryChange::Changed)
+            .collect();
+        if !changed.is_empty() {
+            self.update_entries(EntryUpdate::Announced(changed));
+            self.lead(now);
+        }
+    }
+
+    /// A database said at this host that it is gone.
+    pub(super) fn departed(&mut self, now: Moment, departure: InstanceDeparture) {
+        if self.directory.depart(&departure) {
+            self.update_entries(EntryUpdate::Departed(vec![departure.clone()]));
+            self.tell_peers(&ControlMessage::Departed(vec![departure]));
+            self.lead(now);
+        }
+    }
+
+    pub(super) fn departed_elsewhere(&mut self, now: Moment, departures: Vec<InstanceDeparture>) {
+        let gone: Vec<InstanceDeparture> =
+            departures.into_iter().filter(|departure| self.directory.depart(departure)).collect();
+        if !gone.is_empty() {
+            self.update_entries(EntryUpdate::Departed(gone));
+            self.lead(now);
+        }
+    }
+
+    pub(super) fn expired_elsewhere(&mut self, departures: Vec<InstanceDeparture>) {
+        for departure in &departures {
+            self.directory.forget(departure);
+        }
+        self.update_entries(EntryUpdate::Expired(departures));
+    }
+
+    /// Forgets databases that no host has heard for long.
+    pub(super) fn expire_instances(&mut self, now: Moment) {
+        let silent = self.directory.expire(now, self.settings.announcement_lifetime);
+        if !silent.is_empty() {
+            self.update_entries(EntryUpdate::Expired(silent.clone()));
+            self.tell_peers(&ControlMessage::Expired(silent));
+        }
+    }
+
+    fn note_instance(&mut self, record: &InstanceRecord) {
+        let what = match (record.draining, record.role) {
+            (true, _) => "is draining",
+            (false, crate::instances::InstanceRole::Primary) => "serves as primary",
+            (false, crate::instances::InstanceRole::Replica) => "serves as replica",
+        };
+        let key = record.key.clone();
+        self.effects.push(ControlEffect::Note(ControlNote::Instance { key, what }));
+    }
+
+    fn tell_peers(&mut self, message: &ControlMessage) {
+        for peer in self.peers.clone() {
+            self.send_peer(peer, message.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -0,0 +1,172 @@
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    ControlEffect, ControlHost, EntryReport, EntryUpdate, control_host_state::EntryProgress,
+};
+use crate::{clock::Moment, control::ControlCommand, identity::HostId};
+
+/// Silence after which a host whose lease ran out is no longer a holder.
+const HOLDER_RETENTION: Duration = Duration::from_secs(15);
+
+impl ControlHost {
+    pub(super) fn entry_linked(&mut self, now: Moment, host: HostId) {
+        self.entries.insert(
+            host,
+            EntryProgress { applied: 0, routes_version: 0, linked: true, heard_at: now },
+        );
+        let hosts = self.known_hosts();
+        self.send_entry(host, EntryUpdate::Hosts(hosts));
+        let leader = self.agreement.leader();
+        self.send_entry(host, EntryUpdate::NotLeader { leader });
+        let records = self.directory.records().cloned().collect();
+        self.send_entry(host, EntryUpdate::Announced(records));
+        let departures = self.directory.departures().collect();
+        self.send_entry(host, EntryUpdate::Departed(departures));
+    }
+
+    pub(super) fn entry_closed(&mut self, host: HostId) {
+        if let Some(entry) = self.entries.get_mut(&host) {
+            entry.linked = false;
+        }
+    }
+
+    pub(super) fn entry_reported(&mut self, now: Moment, host: HostId, report: EntryReport) {
+        match report {
+            EntryReport::Renew { sent_at, applied, routes_version } => {
+                self.renewed(now, host, sent_at, applied, routes_version);
+            }
+            EntryReport::PrimaryReachable { service, number, reachable } => {
+                self.opined(now, host, &service, number, reachable);
+            }
+        }
+    }
+
+    fn renewed(
+        &mut self,
+        now: Moment,
+        host: HostId,
+        sent_at: Moment,
+        applied: u64,
+        routes_version: u64,
+    ) {
+        let progress = EntryProgress { applied, routes_version, linked: true, heard_at: now };
+        let caught_up = self
+            .entries
+            .insert(host, progress)
+            .is_some_and(|before| before.applied < applied);
+        if !self.is_current(now) {
+            let leader = self.agreement.leader();
+            return self.send_entry(host, EntryUpdate::NotLeader { leader });
+        }
+        if applied < self.entry_index {
+            self.send_state(host);
+        }
+        if !self.control.holders.contains(&host) {
+            return self.propose_once(now, ControlCommand::HolderJoined(host));
+        }
+        self.grant(now, host, sent_at);
+        if caught_up {
+            self.lead(now);
+        }
+    }
+
+    fn grant(&mut self, now: Moment, host: HostId, sent_at: Moment) {
+        let Some(notes) = &mut self.notes else {
+            return;
+        };
+        let duration = notes.leases.grant(now, host);
+        let live = self.control.holders.iter().filter(|h| notes.leases.is_live(now, **h));
+        let entry_hosts = live.count() as u32;
+        let required_index = self.entry_index;
+        let grant = EntryUpdate::Grant { sent_at, duration, required_index, entry_hosts };
+        self.send_entry(host, grant);
+    }
+
+    fn opined(
+        &mut self,
+        now: Moment,
+        host: HostId,
+        service: &Arc<str>,
+        number: u64,
+        reachable: bool,
+    ) {
+        let fits = self
+            .control
+            .terms
+            .get(service)
+            .is_some_and(|term| term.number == number && term.is_steady());
+        let Some(notes) = self.notes.as_mut().filter(|_| fits) else {
+            return;
+        };
+        let entry = notes.polls.entry(service.clone()).or_default();
+        if entry.0 != number {
+            *entry = (number, Default::default());
+        }
+        entry.1.record(now, host, reachable);
+        if entry.1.should_ask(now) {
+            let service = service.clone();
+            self.update_entries(EntryUpdate::Probe { service, number });
+        }
+        self.lead(now);
+    }
+
+    /// Drops hosts that are long gone from the holders.
+    pub(super) fn forget_holders(&mut self, now: Moment) {
+        let Some(notes) = &self.notes else {
+            return;
+        };
+        let gone: Vec<HostId> = self
+            .control
+            .holders
+            .iter()
+            .filter(|host| {
+                let heard_at = self.entries.get(host).map_or(notes.since, |entry| entry.heard_at);
+                now.since(heard_at.max(notes.since)) > HOLDER_RETENTION
+                    && now >= notes.leases.end_of(**host)
+            })
+            .copied()
+            .collect();
+        for host in gone {
+            self.entries.remove(&host);
+            self.propose_once(now, ControlCommand::HolderLeft(host));
+        }
+    }
+
+    /// Sends the committed state to all linked entry hosts, if this host leads.
+    pub(super) fn push_state(&mut self, _now: Moment) {
+        if !self.agreement.is_leader() {
+            return;
+        }
+        let linked: Vec<HostId> = self.linked_entries();
+        linked.into_iter().for_each(|host| self.send_state(host));
+    }
+
+    fn send_state(&mut self, host: HostId) {
+        let Some(entry) = self.entries.get_mut(&host) else {
+            return;
+        };
+        let held = entry.routes_version;
+        let routes = self.control.routes.clone().filter(|table| table.version > held);
+        if let Some(table) = &routes {
+            // A lost update is sent again when the host renews its lease.
+            entry.routes_version = table.version;
+        }
+        let terms = self.control.terms.values().cloned().collect();
+        let update = EntryUpdate::State { index: self.entry_index, routes, terms };
+        self.send_entry(host, update);
+    }
+
+    pub(super) fn update_entries(&mut self, update: EntryUpdate) {
+        for host in self.linked_entries() {
+            self.send_entry(host, update.clone());
+        }
+    }
+
+    fn linked_entries(&self) -> Vec<HostId> {
+        self.entries.iter().filter(|(_, entry)| entry.linked).map(|(host, _)| *host).collect()
+    }
+
+    fn send_entry(&mut self, host: HostId, update: EntryUpdate) {
+        self.effects.push(ControlEffect::SendEntry(host, update));
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/control_host/mod.rs
@@ -0,0 +1,16 @@
+//! A control host of a deployment whose hosts find each other by seeds: orders
+//! of operators, announcements, leases of entry hosts and primaries.
+
+mod control_event;
+mod control_host_state;
+mod directory_flow;
+mod entry_flow;
+mod messages;
+mod order_flow;
+mod term_flow;
+
+pub use control_event::{
+    ControlEffect, ControlEvent, ControlNote, OperatorOrder, OrderAnswer, PromoteResult,
+};
+pub use control_host_state::{ControlHost, ControlSettings};
+pub use messages::{ControlMessage, EntryReport, EntryUpdate, LinkFrame, LinkRole};
--- /dev/null
+++ b/crates/decisions/src/entry/connection_state.rs
@@ -0,0 +1,70 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{PreparedShape, SessionState};
+
+/// Prepared statements kept on one connection before it is cleared.
+const MAX_PREPARED: usize = 256;
+
+/// A statement that restores a session on a shared connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RestoreStep {
+    /// Clears values and prepared statements.
+    Reset,
+    /// Sets a session value.
+    SetValue {
+        /// Name of the value.
+        name: Arc<str>,
+        /// The value.
+        value: Arc<str>,
+    },
+    /// Prepares a statement.
+    Prepare {
+        /// Its name on the connection.
+        name: Arc<str>,
+        /// What it runs.
+        prepared: PreparedShape,
+    },
+}
+
+/// Values and prepared statements that a shared connection holds. Names are
+/// the connection's own, so that callers' names do not collide.
+#[derive(Debug, Default)]
+pub struct ConnectionState {
+    values: BTreeMap<Arc<str>, Arc<str>>,
+    prepared: BTreeMap<PreparedShape, Arc<str>>,
+}
+
+impl ConnectionState {
+    /// What must be sent so that the connection holds exactly the session's
+    /// values. The state counts as changed at once; a connection on which a
+    /// step fails must be closed.
+    pub fn restore_values(&mut self, session: &SessionState) -> Vec<RestoreStep> {
+        let mut steps = Vec::new();
+        let has_extra = self.values.keys().any(|name| !session.values.contains_key(name));
+        if has_extra || self.prepared.len() > MAX_PREPARED {
+            steps.push(RestoreStep::Reset);
+            self.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in &session.values {
+            if self.values.get(name) != Some(value) {
+                self.values.insert(name.clone(), value.clone());
+                let (name, value) = (name.clone(), value.clone());
+                steps.push(RestoreStep::SetValue { name, value });
+            }
+        }
+        steps
+    }
+
+    /// The connection's name of a prepared statement, and the step that
+    /// prepares it if it is new.
+    pub fn prepared_name(&mut self, prepared: &PreparedShape) -> (Arc<str>, Option<RestoreStep>) {
+        if let Some(name) = self.prepared.get(prepared) {
+            return (name.clone(), None);
+        }
+        let name: Arc<str> = Arc::from(format!("p{}", self.prepared.len()));
+        self.prepared.insert(prepared.clone(), name.clone());
+        let step = RestoreStep::Prepare { name: name.clone(), prepared: prepared.clone() };
+        (name, Some(step))
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -0,0 +1,315 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{LoadTable, ReadMarks};
+use crate::{
+    clock::Moment,
+    instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord},
+    leases::HeldLease,
+    positions::LogPosition,
+    primaries::ServiceTerm,
+    routes::{RouteKind, RouteRule, RouteTable},
+};
+
+/// Part of the accepted age that is kept for the way to the replica.
+const AGE_MARGIN: Duration = Duration::from_millis(50);
+/// Age of a mark at which a replica that is not behind has received it.
+const SETTLED_AGE: Duration = Duration::from_millis(300);
+/// How much dearer a read is at the primary, which alone takes the writes.
+const PRIMARY_WEIGHT: f64 = 1.5;
+/// How much dearer a read is in another data centre.
+const REMOTE_WEIGHT: f64 = 1.25;
+
+/// Whether a service's primary may be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PrimaryUse {
+    /// It may, in this term.
+    Usable {
+        /// The primary.
+        record: InstanceRecord,
+        /// The term; checked again when the answer comes.
+        number: u64,
+    },
+    /// Not now: no lease, or the primary is being replaced.
+    NotNow,
+}
+
+/// What a read must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadNeed {
+    /// Everything that was acknowledged: only the primary can tell.
+    Latest,
+    /// This position; `settled` if replicas that keep up hold it.
+    Position {
+        /// The position.
+        position: LogPosition,
+        /// It is older than the usual lag.
+        settled: bool,
+    },
+}
+
+/// Where a read goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadTarget {
+    /// To the primary, if it may be used.
+    Primary,
+    /// To this replica, which must hold the position.
+    Replica {
+        /// The replica.
+        record: InstanceRecord,
+        /// The position.
+        position: LogPosition,
+    },
+}
+
+/// All that an entry host knows of services, and its right to serve.
+#[derive(Debug)]
+pub struct EntryView {
+    data_centre: Arc<str>,
+    directory: InstanceDirectory,
+    routes: Option<Arc<RouteTable>>,
+    by_database: HashMap<Arc<str>, Arc<RouteRule>>,
+    terms: BTreeMap<Arc<str>, ServiceTerm>,
+    marks: BTreeMap<Arc<str>, ReadMarks>,
+    lease: HeldLease,
+    applied: u64,
+    entry_hosts: u32,
+    /// What this host saw of the databases.
+    pub loads: LoadTable,
+}
+
+impl EntryView {
+    /// A host that knows nothing yet.
+    pub fn new(data_centre: Arc<str>) -> Self {
+        Self {
+            data_centre,
+            directory: InstanceDirectory::default(),
+            routes: None,
+            by_database: HashMap::new(),
+            terms: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            lease: HeldLease::default(),
+            applied: 0,
+            entry_hosts: 1,
+            loads: LoadTable::default(),
+        }
+    }
+
+    /// Takes the committed state; an older one changes nothing. Returns true
+    /// if it was newer.
+    pub fn apply_state(
+        &mut self,
+        index: u64,
+        routes: Option<Arc<RouteTable>>,
+        terms: Vec<ServiceTerm>,
+    ) -> bool {
+        if let Some(table) = routes.filter(|table| table.version > self.routes_version()) {
+            self.by_database = table
+                .routes
+                .iter()
+                .rev()
+                .map(|route| (route.database.clone(), Arc::new(route.clone())))
+                .collect();
+            self.routes = Some(table);
+        }
+        if index <= self.applied {
+            return false;
+        }
+        self.applied = index;
+        self.terms = terms.into_iter().map(|term| (term.service.clone(), term)).collect();
+        true
+    }
+
+    /// Takes a lease.
+    pub fn grant(
+        &mut self,
+        sent_at: Moment,
+        duration: Duration,
+        required_index: u64,
+        entry_hosts: u32,
+    ) {
+        self.lease.extend(sent_at, duration, required_index);
+        self.entry_hosts = entry_hosts.max(1);
+    }
+
+    /// Takes announcements.
+    pub fn announced(&mut self, now: Moment, records: &[InstanceRecord]) {
+        for record in records {
+            self.directory.announce(now, record);
+        }
+        self.prune_loads();
+    }
+
+    /// Takes departures.
+    pub fn departed(&mut self, departures: &[InstanceDeparture]) {
+        for departure in departures {
+            self.directory.depart(departure);
+        }
+        self.prune_loads();
+    }
+
+    /// Forgets databases that were silent for long.
+    pub fn expired(&mut self, departures: &[InstanceDeparture]) {
+        for departure in departures {
+            self.directory.forget(departure);
+        }
+        self.prune_loads();
+    }
+
+    /// Index of control's log that is applied here.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Version of the configuration in force, 0 without one.
+    pub fn routes_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// The configuration in force.
+    pub fn routes(&self) -> Option<&Arc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// The route of a database name.
+    pub fn route(&self, database: &str) -> Option<Arc<RouteRule>> {
+        self.by_database.get(database).cloned()
+    }
+
+    /// Hosts that share the databases' connections.
+    pub fn entry_hosts(&self) -> u32 {
+        self.entry_hosts
+    }
+
+    /// True while the lease holds.
+    pub fn has_lease(&self, now: Moment) -> bool {
+        self.lease.is_valid(now, self.applied)
+    }
+
+    /// The primary's record and term, whether or not it may be used.
+    pub fn term(&self, service: &str) -> Option<&ServiceTerm> {
+        self.terms.get(service)
+    }
+
+    /// The database with this key, if it is still the newest start.
+    pub fn instance(&self, key: &InstanceKey) -> Option<&InstanceRecord> {
+        self.directory.find(key)
+    }
+
+    /// Whether the service's primary may be used now.
+    pub fn primary(&self, now: Moment, service: &str) -> PrimaryUse {
+        if !self.has_lease(now) {
+            return PrimaryUse::NotNow;
+        }
+        let Some(term) = self.terms.get(service).filter(|term| term.is_steady()) else {
+            return PrimaryUse::NotNow;
+        };
+        match self.directory.find(&term.primary) {
+            Some(record) => {
+                PrimaryUse::Usable { record: record.clone(), number: term.number }
+            }
+            None => PrimaryUse::NotNow,
+        }
+    }
+
+    /// True if a write's answer from the primary of this term may be given.
+    pub fn accepts_answer(&self, now: Moment, service: &str, number: u64) -> bool {
+        self.has_lease(now)
+            && self.terms.get(service).is_some_and(|term| term.accepts_answers(number))
+    }
+
+    /// Notes a position that the primary showed.
+    pub fn saw_primary(
+        &mut self,
+        now: Moment,
+        service: &Arc<str>,
+        number: u64,
+        sent_at: Moment,
+        position: LogPosition,
+    ) {
+        if self.accepts_answer(now, service, number) {
+            self.marks.entry(service.clone()).or_default().record(sent_at, position);
+        }
+    }
+
+    /// What a read of this route must see.
+    pub fn read_need(
+        &self,
+        now: Moment,
+        route: &RouteRule,
+        last_commit: Option<LogPosition>,
+    ) -> ReadNeed {
+        let (max_age, own) = match route.kind {
+            RouteKind::Primary => return ReadNeed::Latest,
+            RouteKind::BoundedStaleness { max_age } => (max_age, None),
+            RouteKind::ReadYourWrites { max_age } => (max_age, last_commit),
+        };
+        let marks = self.marks.get(&route.service);
+        let mark =
+            marks.and_then(|marks| marks.oldest_within(now, max_age.saturating_sub(AGE_MARGIN)));
+        let Some((at, position)) = mark else {
+            return ReadNeed::Latest;
+        };
+        match own.filter(|own| *own > position) {
+            Some(own) => ReadNeed::Position { position: own, settled: false },
+            None => {
+                let settled = now.since(at) >= SETTLED_AGE;
+                ReadNeed::Position { position, settled }
+            }
+        }
+    }
+
+    /// The best database for a read, leaving out those that were tried.
+    pub fn read_target(
+        &self,
+        now: Moment,
+        service: &str,
+        need: ReadNeed,
+        tried: &[InstanceKey],
+    ) -> ReadTarget {
+        let ReadNeed::Position { position, settled } = need else {
+            return ReadTarget::Primary;
+        };
+        let primary = match self.primary(now, service) {
+            PrimaryUse::Usable { record, .. } => Some(record),
+            PrimaryUse::NotNow => None,
+        };
+        let replicas = self
+            .directory
+            .of_service(service)
+            .filter(|record| !record.draining && !tried.contains(&record.key))
+            .filter(|record| primary.as_ref().is_none_or(|primary| primary.key != record.key));
+        let best = replicas
+            .filter_map(|record| {
+                let load = self.loads.get(&record.key);
+                let fits = load.is_usable(now) && load.may_hold(now, position, settled);
+                fits.then(|| (self.cost(record, load.expected_ms()), record))
+            })
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let primary_cost = primary.filter(|record| !tried.contains(&record.key)).map(|record| {
+            let load = self.loads.get(&record.key);
+            PRIMARY_WEIGHT * self.cost(&record, load.expected_ms())
+        });
+        match (best, primary_cost) {
+            (Some((cost, record)), primary) if primary.is_none_or(|primary| cost <= primary) => {
+                ReadTarget::Replica { record: record.clone(), position }
+            }
+            _ => ReadTarget::Primary,
+        }
+    }
+
+    fn cost(&self, record: &InstanceRecord, expected_ms: f64) -> f64 {
+        match record.data_centre == self.data_centre {
+            true => expected_ms,
+            false => expected_ms * REMOTE_WEIGHT,
+        }
+    }
+
+    fn prune_loads(&mut self) {
+        let directory = &self.directory;
+        self.loads.retain(|key| directory.find(key).is_some());
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/instance_load.rs
@@ -0,0 +1,116 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{clock::Moment, instances::InstanceKey, positions::LogPosition};
+
+/// Weight of the newest latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Latency assumed before the first answer, in milliseconds.
+const FIRST_LATENCY_MS: f64 = 10.0;
+/// Time for which a database that could not be reached is avoided, doubled
+/// with each further failure.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(200);
+/// Longest time for which a database is avoided without a new attempt.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+/// Time for which a replica that lacked a position gets no further read that
+/// needs one it has not shown.
+const LAG_AVOIDANCE: Duration = Duration::from_millis(250);
+
+/// What this host saw of one database.
+#[derive(Debug, Clone)]
+pub struct InstanceLoad {
+    /// Statements of this host that are under way.
+    pub outstanding: u32,
+    latency_ms: f64,
+    failures: u32,
+    avoid_until: Moment,
+    lagging_until: Moment,
+    /// Newest position seen in its answers.
+    pub position: Option<LogPosition>,
+}
+
+impl Default for InstanceLoad {
+    fn default() -> Self {
+        Self {
+            outstanding: 0,
+            latency_ms: FIRST_LATENCY_MS,
+            failures: 0,
+            avoid_until: Moment::ZERO,
+            lagging_until: Moment::ZERO,
+            position: None,
+        }
+    }
+}
+
+impl InstanceLoad {
+    /// True if it may be tried now.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        now >= self.avoid_until
+    }
+
+    /// True if it has shown the position, or probably has it.
+    pub fn may_hold(&self, now: Moment, position: LogPosition, is_settled: bool) -> bool {
+        self.position.is_some_and(|held| held >= position)
+            || is_settled && now >= self.lagging_until
+    }
+
+    /// Expected time to an answer, for comparison only, in milliseconds.
+    pub fn expected_ms(&self) -> f64 {
+        self.latency_ms * f64::from(self.outstanding + 1)
+    }
+}
+
+/// What this host saw of all databases.
+#[derive(Debug, Default)]
+pub struct LoadTable {
+    loads: BTreeMap<InstanceKey, InstanceLoad>,
+}
+
+impl LoadTable {
+    /// The load of a database.
+    pub fn get(&self, key: &InstanceKey) -> InstanceLoad {
+        self.loads.get(key).cloned().unwrap_or_default()
+    }
+
+    /// A statement is on its way.
+    pub fn started(&mut self, key: &InstanceKey) {
+        self.loads.entry(key.clone()).or_default().outstanding += 1;
+    }
+
+    /// A statement is over; `latency` is set if it was answered.
+    pub fn finished(&mut self, key: &InstanceKey, latency: Option<Duration>) {
+        let load = self.loads.entry(key.clone()).or_default();
+        load.outstanding = load.outstanding.saturating_sub(1);
+        if let Some(latency) = latency {
+            let latency_ms = latency.as_secs_f64() * 1_000.0;
+            load.latency_ms += LATENCY_WEIGHT * (latency_ms - load.latency_ms);
+            load.failures = 0;
+            load.avoid_until = Moment::ZERO;
+        }
+    }
+
+    /// An answer carried a position.
+    pub fn saw_position(&mut self, key: &InstanceKey, position: LogPosition) {
+        let load = self.loads.entry(key.clone()).or_default();
+        if load.position.is_none_or(|held| held < position) {
+            load.position = Some(position);
+        }
+    }
+
+    /// The database could not be reached or broke off.
+    pub fn failed(&mut self, now: Moment, key: &InstanceKey) {
+        let load = self.loads.entry(key.clone()).or_default();
+        let doubled = FIRST_AVOIDANCE * 2u32.pow(load.failures.min(4));
+        load.failures += 1;
+        load.avoid_until = now + doubled.min(LONGEST_AVOIDANCE);
+    }
+
+    /// The database lacked a position.
+    pub fn lagged(&mut self, now: Moment, key: &InstanceKey) {
+        self.loads.entry(key.clone()).or_default().lagging_until = now + LAG_AVOIDANCE;
+    }
+
+    /// Drops databases that are not in use.
+    pub fn retain(&mut self, keep: impl Fn(&InstanceKey) -> bool) {
+        self.loads.retain(|key, load| load.outstanding > 0 || keep(key));
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/entry/mod.rs
@@ -0,0 +1,14 @@
+//! What an entry host knows and decides: routes, leases, marks for reads, the
+//! choice of a database, and the state of sessions and shared connections.
+
+mod connection_state;
+mod entry_view;
+mod instance_load;
+mod read_marks;
+mod session_state;
+
+pub use connection_state::{ConnectionState, RestoreStep};
+pub use entry_view::{EntryView, PrimaryUse, ReadNeed, ReadTarget};
+pub use instance_load::{InstanceLoad, LoadTable};
+pub use read_marks::ReadMarks;
+pub use session_state::{PreparedShape, SessionState, TransactionPhase};
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -109,6 +109,14 @@
             self.recent.pop_front();
         }
         match &command {
+            // Hosts that are configured by number have no part in these.
+            ControlCommand::RoutesReplaced { .. }
+            | ControlCommand::HolderJoined(_)
+            | ControlCommand::HolderLeft(_)
+            | ControlCommand::ServicePrimaryKnown { .. }
+            | ControlCommand::ServiceTermEnded { .. }
+            | ControlCommand::ServicePrimaryChosen { .. }
+            | ControlCommand::ServiceTermStarted { .. } => {}
             ControlCommand::LeaderElected | ControlCommand::PlanMade(_) => {}
             ControlCommand::HostJoined(HostRecord { id, .. }) | ControlCommand::HostLeft(id) => {
                 if self.control.hosts_version != hosts_version {
--- a/crates/decisions/src/host/host_state.rs
+++ b/crates/decisions/src/host/host_state.rs
@@ -5,7 +5,9 @@
     leader_duty::LeaderDuty, operator_flow::PendingQuestion,
 };
 use crate::{
-    agreement::{AgreementEvent, AgreementSettings, AgreementState, JournalRecord},
+    agreement::{
+        AgreementEvent, AgreementSettings, AgreementState, COMPACTION_ENTRIES, JournalRecord,
+    },
     clock::Moment,
     control::ControlCommand,
     control::ControlState,
@@ -70,6 +72,7 @@
                 election_timeout: settings.election_timeout,
                 heartbeat_interval: settings.heartbeat_interval,
                 first_voters: settings.voters.clone(),
+                compaction_entries: COMPACTION_ENTRIES,
                 seed: settings.seed,
             };
             AgreementState::restore(settings.id(), agreement_settings, journal, now)
--- /dev/null
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -0,0 +1,150 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use super::{InstanceDeparture, InstanceKey, InstanceRecord};
+use crate::clock::Moment;
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// It was overtaken by a newer one.
+    Stale,
+    /// It said what was known.
+    Refreshed,
+    /// Something differs from before.
+    Changed,
+}
+
+#[derive(Debug, Clone)]
+struct HeardInstance {
+    record: InstanceRecord,
+    heard_at: Moment,
+}
+
+/// Databases by id, as their newest announcements describe them.
+///
+/// Announcements may arrive late, through several hosts and out of order: the
+/// later start wins, then the higher count. An address belongs to the start
+/// that was born last.
+#[derive(Debug, Default)]
+pub struct InstanceDirectory {
+    instances: BTreeMap<Arc<str>, HeardInstance>,
+    departed: BTreeMap<Arc<str>, u64>,
+}
+
+impl InstanceDirectory {
+    /// Takes an announcement.
+    pub fn announce(&mut self, now: Moment, record: &InstanceRecord) -> DirectoryChange {
+        let id = &record.key.id;
+        if self.departed.get(id).is_some_and(|born| record.key.born_ms <= *born) {
+            return DirectoryChange::Stale;
+        }
+        if let Some(known) = self.instances.get_mut(id) {
+            let order = (record.key.born_ms, record.sequence);
+            if order <= (known.record.key.born_ms, known.record.sequence) {
+                return DirectoryChange::Stale;
+            }
+            known.heard_at = now;
+            if known.record.says_the_same(record) {
+                known.record = record.clone();
+                return DirectoryChange::Refreshed;
+            }
+        }
+        if !self.take_address(record) {
+            return DirectoryChange::Stale;
+        }
+        let heard = HeardInstance { record: record.clone(), heard_at: now };
+        self.instances.insert(id.clone(), heard);
+        DirectoryChange::Changed
+    }
+
+    /// Removes a database that said it is gone; true if it was known.
+    pub fn depart(&mut self, departure: &InstanceDeparture) -> bool {
+        let known = self.instances.get(&departure.id).map(|heard| heard.record.key.born_ms);
+        let Some(born_ms) = departure.born_ms.or(known) else {
+            return false;
+        };
+        let departed = self.departed.entry(departure.id.clone()).or_default();
+        *departed = (*departed).max(born_ms);
+        let gone = known.is_some_and(|known| known <= born_ms);
+        if gone {
+            self.instances.remove(&departure.id);
+        }
+        gone
+    }
+
+    /// Removes one start of a database that may announce itself again.
+    pub fn forget(&mut self, departure: &InstanceDeparture) {
+        let known = self.instances.get(&departure.id).map(|heard| heard.record.key.born_ms);
+        if known.is_some() && departure.born_ms.is_none_or(|born| known <= Some(born)) {
+            self.instances.remove(&departure.id);
+        }
+    }
+
+    /// Removes databases that were silent for longer than `lifetime`.
+    pub fn expire(&mut self, now: Moment, lifetime: Duration) -> Vec<InstanceDeparture> {
+        let silent: Vec<InstanceDeparture> = self
+            .instances
+            .values()
+            .filter(|heard| now.since(heard.heard_at) > lifetime)
+            .map(|heard| InstanceDeparture {
+                id: heard.record.key.id.clone(),
+                born_ms: Some(heard.record.key.born_ms),
+            })
+            .collect();
+        for departure in &silent {
+            self.instances.remove(&departure.id);
+        }
+        silent
+    }
+
+    /// The newest start of a database id.
+    pub fn get(&self, id: &str) -> Option<&InstanceRecord> {
+        self.instances.get(id).map(|heard| &heard.record)
+    }
+
+    /// One start of a database, if it is still the newest.
+    pub fn find(&self, key: &InstanceKey) -> Option<&InstanceRecord> {
+        self.get(&key.id).filter(|record| record.key == *key)
+    }
+
+    /// Time since the database was last heard.
+    pub fn silence(&self, now: Moment, id: &str) -> Option<Duration> {
+        self.instances.get(id).map(|heard| now.since(heard.heard_at))
+    }
+
+    /// Databases of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a InstanceRecord> + 'a {
+        self.records().filter(move |record| &*record.service == service)
+    }
+
+    /// All databases.
+    pub fn records(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.instances.values().map(|heard| &heard.record)
+    }
+
+    /// Databases that said they are gone.
+    pub fn departures(&self) -> impl Iterator<Item = InstanceDeparture> + '_ {
+        self.departed
+            .iter()
+            .map(|(id, born_ms)| InstanceDeparture { id: id.clone(), born_ms: Some(*born_ms) })
+    }
+
+    /// Gives the address to the record unless a later start holds it.
+    fn take_address(&mut self, record: &InstanceRecord) -> bool {
+        let holder = self
+            .records()
+            .find(|other| other.address == record.address && other.key.id != record.key.id)
+            .map(|other| other.key.clone());
+        match holder {
+            Some(holder) if holder.born_ms > record.key.born_ms => false,
+            Some(holder) => {
+                self.instances.remove(&holder.id);
+                true
+            }
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/instances/mod.rs
@@ -0,0 +1,7 @@
+//! Databases that announce themselves by id and start, and their directory.
+
+mod instance_directory;
+mod instance_record;
+
+pub use instance_directory::{DirectoryChange, InstanceDirectory};
+pub use instance_record::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole};
--- /dev/null
+++ b/crates/decisions/src/primaries/mod.rs
@@ -0,0 +1,9 @@
+//! Which database of a service is its primary, and how it is replaced.
+
+mod service_term;
+mod suspicion_poll;
+mod term_change;
+
+pub use service_term::{ServiceTerm, TermPhase};
+pub use suspicion_poll::SuspicionPoll;
+pub use term_change::{HolderView, InstanceStatus, TermChange, TermStep};
--- /dev/null
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -0,0 +1,63 @@
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// Consistency that the requests of a route are owed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum RouteKind {
+    /// Every statement runs at the primary.
+    Primary,
+    /// Reads accept data up to the given age.
+    BoundedStaleness {
+        /// Largest age of what a read sees.
+        max_age: Duration,
+    },
+    /// Reads accept data up to the given age, and see the session's writes.
+    ReadYourWrites {
+        /// Largest age of what a read sees.
+        max_age: Duration,
+    },
+}
+
+/// How the requests for one database name are served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RouteRule {
+    /// Name of the route.
+    pub name: Arc<str>,
+    /// Database name that callers give.
+    pub database: Arc<str>,
+    /// Path below the database; callers of databases give none.
+    pub path: Arc<str>,
+    /// Consistency of the route.
+    pub kind: RouteKind,
+    /// Longest time for one statement.
+    pub timeout: Duration,
+    /// Time within which a whole operation is best answered.
+    pub objective: Duration,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Service that runs the requests.
+    pub service: Arc<str>,
+}
+
+/// What operators say of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ServiceRule {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Connections that each of its databases takes, from all hosts together.
+    pub max_connections: u32,
+    /// Replicas that must hold a commit before the primary acknowledges it.
+    pub sync_replicas: u32,
+}
+
+/// Limits that hold for all callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TrafficLimits {
+    /// Time after which a transaction without a statement may be ended.
+    pub transaction_idle: Duration,
+}
--- /dev/null
+++ b/crates/decisions/src/routes/route_table.rs
@@ -0,0 +1,85 @@
+use std::{collections::BTreeSet, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use super::{RouteRule, ServiceRule, TrafficLimits};
+
+/// Why a configuration was refused.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum RouteError {
+    /// A route leads to a service that is not declared.
+    #[snafu(display("route {route} names the unknown service {service}; declare it or change it"))]
+    UnknownService {
+        /// The route.
+        route: Arc<str>,
+        /// The service it names.
+        service: Arc<str>,
+    },
+    /// Two routes serve the same database and path.
+    #[snafu(display("two routes serve database {database} at {path}; remove one"))]
+    SharedPlace {
+        /// The database.
+        database: Arc<str>,
+        /// The path.
+        path: Arc<str>,
+    },
+    /// A route gives its statements no time.
+    #[snafu(display("route {route} has a timeout of 0; give at least 1 ms"))]
+    NoTimeout {
+        /// The route.
+        route: Arc<str>,
+    },
+}
+
+/// A whole configuration under the operator's own version; the highest version
+/// is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RouteTable {
+    /// The operator's version.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<RouteRule>,
+    /// Services.
+    pub services: Vec<ServiceRule>,
+    /// Limits for all callers.
+    pub limits: TrafficLimits,
+    /// The configuration as the operator sent it, for reading back.
+    pub source: Arc<str>,
+}
+
+impl RouteTable {
+    /// Checks that every route can be served.
+    ///
+    /// # Errors
+    /// `RouteError` names the route and the mend.
+    pub fn check(&self) -> Result<(), RouteError> {
+        let services: BTreeSet<&str> = self.services.iter().map(|rule| &*rule.name).collect();
+        let mut places = BTreeSet::new();
+        for route in &self.routes {
+            if !services.contains(&*route.service) {
+                let (route, service) = (route.name.clone(), route.service.clone());
+                return Err(RouteError::UnknownService { route, service });
+            }
+            if route.timeout.is_zero() {
+                return Err(RouteError::NoTimeout { route: route.name.clone() });
+            }
+            if !places.insert((&route.database, &route.path)) {
+                let (database, path) = (route.database.clone(), route.path.clone());
+                return Err(RouteError::SharedPlace { database, path });
+            }
+        }
+        Ok(())
+    }
+
+    /// The route of a database name.
+    pub fn route_of(&self, database: &str) -> Option<&RouteRule> {
+        self.routes.iter().find(|route| &*route.database == database)
+    }
+
+    /// The declaration of a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceRule> {
+        self.services.iter().find(|service| &*service.name == name)
+    }
+}
