--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -367,12 +367,13 @@
 
     fn finish_pinned(
         &mut self,
-        place: RunPlace,
+        mut place: RunPlace,
         statement: &CallerStatement,
         answer: UpstreamAnswer,
     ) -> CallerReply {
         match answer.phase {
             SessionPhase::InTransaction => {
+                place.link.pin();
                 self.pinned = Some(place);
                 self.relay(answer)
             }
@@ -457,6 +458,10 @@
 
     fn roll_back_at(&self, mut place: RunPlace) {
         let shared = self.shared.clone();
+        if shared.cancel.is_cancelled() {
+            // The database rolls back when the connection closes.
+            return;
+        }
         self.shared.tasks.spawn_local(async move {
             let mut out = Vec::new();
             shared.upstreams.encode_command(&mut out, UpstreamCommand::Rollback);
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -1,11 +1,10 @@
-use std::{
-    cell::RefCell,
-    collections::VecDeque,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use hawthornstack_decisions::instances::InstanceRecord;
+use hawthornstack_decisions::{
+    entry::{InflightWindow, QueuedStatement, next_in_queue},
+    instances::InstanceRecord,
+    positions::LogPosition,
+};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep_until, timeout_at},
@@ -15,12 +14,16 @@
     entry_shared::EntryShared,
     upstream_link::{OpenError, UpstreamLink},
 };
+use crate::clock::BootClock;
 
 /// Idle time after which a connection beyond the host's share is closed, so
 /// that another host may open one.
 const SURPLUS_IDLE: Duration = Duration::from_millis(800);
-/// Time before a database that took no more connections is tried again.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// Time before a database that took no more connections is tried again,
+/// doubled with each further refusal.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+/// Most doublings of that time.
+const FULL_DOUBLINGS: u32 = 4;
 
 /// Why no connection was had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,16 +45,21 @@
 
 #[derive(Debug)]
 struct PoolWaiter {
-    priority: u32,
+    statement: QueuedStatement,
     offer: oneshot::Sender<PoolOffer>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PoolState {
     idle: Vec<(UpstreamLink, Option<Instant>)>,
     open: usize,
-    waiters: VecDeque<PoolWaiter>,
+    /// Connections in use outside transactions.
+    running: usize,
+    window: InflightWindow,
+    /// In order of arrival.
+    waiters: Vec<PoolWaiter>,
     full_until: Option<Instant>,
+    refusals: u32,
 }
 
 /// Connections of this host to one start of a database.
@@ -62,8 +70,17 @@
 }
 
 impl DatabasePool {
-    pub(super) fn new(record: &InstanceRecord) -> Rc<Self> {
-        Rc::new(Self { record: record.clone(), state: RefCell::default() })
+    pub(super) fn new(record: &InstanceRecord, hosts: u32, limit: usize) -> Rc<Self> {
+        let state = PoolState {
+            idle: Vec::new(),
+            open: 0,
+            running: 0,
+            window: InflightWindow::new(record.slots, hosts, limit),
+            waiters: Vec::new(),
+            full_until: None,
+            refusals: 0,
+        };
+        Rc::new(Self { record: record.clone(), state: RefCell::new(state) })
     }
 
     pub(super) fn record(&self) -> &InstanceRecord {
@@ -78,15 +95,17 @@
     pub(super) async fn acquire(
         self: &Rc<Self>,
         shared: &EntryShared,
-        priority: u32,
+        statement: QueuedStatement,
         deadline: Instant,
     ) -> Result<PooledLink, AcquireError> {
         loop {
-            if let Some(link) = self.take_idle() {
-                return Ok(PooledLink { link: Some(link), pool: self.clone(), given_back: false });
-            }
             let limit = shared.connection_limit(&self.record);
-            let waits_until = match self.may_open(limit) {
+            let has_room = self.has_room(limit);
+            if has_room && let Some(link) = self.take_idle() {
+                return Ok(self.lend(Some(link)));
+            }
+            let may_open = if has_room { self.may_open(limit) } else { Err(None) };
+            let waits_until = match may_open {
                 Ok(()) => match self.open(shared).await {
                     Ok(link) => return Ok(link),
                     Err(OpenError::Unreachable) => return Err(AcquireError::Unreachable),
@@ -95,12 +114,34 @@
                 },
                 Err(full_until) => full_until,
             };
-            if let Some(link) = self.wait(priority, waits_until, deadline).await? {
+            if let Some(link) = self.wait(statement, waits_until, deadline).await? {
                 return Ok(link);
             }
         }
     }
 
+    /// True if the window lets another statement go to the database.
+    fn has_room(&self, limit: usize) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.window.set_largest(limit);
+        state.running < state.window.limit()
+    }
+
+    fn lend(self: &Rc<Self>, link: Option<UpstreamLink>) -> PooledLink {
+        self.state.borrow_mut().running += 1;
+        PooledLink { link, pool: self.clone(), opened_at: None, given_back: false, pinned: false }
+    }
+
+    /// The database answered a statement, or had no room for it.
+    pub(super) fn note_answer(&self, refused: bool) {
+        let mut state = self.state.borrow_mut();
+        let running = state.running;
+        match refused {
+            true => state.window.refused(),
+            false => state.window.answered(running),
+        }
+    }
+
     fn take_idle(&self) -> Option<UpstreamLink> {
         let mut state = self.state.borrow_mut();
         while let Some((link, _)) = state.idle.pop() {
@@ -128,16 +169,21 @@
     async fn open(self: &Rc<Self>, shared: &EntryShared) -> Result<PooledLink, OpenError> {
         self.state.borrow_mut().open += 1;
         // Counts the connection also if the task ends while it is opened.
-        let mut pooled = PooledLink { link: None, pool: self.clone(), given_back: false };
+        let mut pooled = self.lend(None);
         let protocol = &*shared.upstreams;
-        pooled.link =
-            Some(UpstreamLink::open(protocol, &self.record, &shared.settings.name).await?);
+        let (link, position) =
+            UpstreamLink::open(protocol, &self.record, &shared.settings.name).await?;
+        pooled.link = Some(link);
+        pooled.opened_at = position;
+        self.state.borrow_mut().refusals = 0;
         Ok(pooled)
     }
 
     fn note_full(&self) -> Instant {
-        let until = Instant::now() + FULL_PAUSE;
-        self.state.borrow_mut().full_until = Some(until);
+        let mut state = self.state.borrow_mut();
+        let until = Instant::now() + FULL_PAUSE * 2u32.pow(state.refusals.min(FULL_DOUBLINGS));
+        state.refusals += 1;
+        state.full_until = Some(until);
         until
     }
 
@@ -145,7 +191,7 @@
     /// again.
     async fn wait(
         self: &Rc<Self>,
-        priority: u32,
+        statement: QueuedStatement,
         until: Option<Instant>,
         deadline: Instant,
     ) -> Result<Option<PooledLink>, AcquireError> {
@@ -153,9 +199,9 @@
         {
             let mut state = self.state.borrow_mut();
             state.waiters.retain(|waiter| !waiter.offer.is_closed());
-            let place = state.waiters.iter().position(|waiter| waiter.priority > priority);
-            let place = place.unwrap_or(state.waiters.len());
-            state.waiters.insert(place, PoolWaiter { priority, offer });
+            // A statement that waits again keeps its place.
+            let place = state.waiters.partition_point(|w| w.statement.arrived <= statement.arrived);
+            state.waiters.insert(place, PoolWaiter { statement, offer });
         }
         let wakes = async {
             match until {
@@ -173,32 +219,35 @@
         match outcome.await {
             Err(_) => Err(AcquireError::OutOfTime),
             Ok(Some(PoolOffer::Link(link))) => {
-                Ok(Some(PooledLink { link: Some(*link), pool: self.clone(), given_back: false }))
+                Ok(Some(self.lend(Some(*link))))
             }
             Ok(_) => Ok(None),
         }
     }
 
-    fn give_back(&self, link: UpstreamLink) {
+    /// Hands a free connection to the waiter whose turn it is, or the news that
+    /// there is room.
+    fn serve_next(&self, link: Option<UpstreamLink>) {
+        let now = BootClock.now();
         let mut state = self.state.borrow_mut();
-        let mut link = Box::new(link);
-        while let Some(waiter) = state.waiters.pop_front() {
-            match waiter.offer.send(PoolOffer::Link(link)) {
+        state.waiters.retain(|waiter| !waiter.offer.is_closed());
+        let mut offer = match link {
+            Some(link) => PoolOffer::Link(Box::new(link)),
+            None => PoolOffer::Retry,
+        };
+        while state.running < state.window.limit() {
+            let queue: Vec<QueuedStatement> = state.waiters.iter().map(|w| w.statement).collect();
+            let Some(place) = next_in_queue(&queue, now, Duration::ZERO) else {
+                break;
+            };
+            let waiter = state.waiters.remove(place);
+            match waiter.offer.send(offer) {
                 Ok(()) => return,
-                Err(PoolOffer::Link(returned)) => link = returned,
-                Err(PoolOffer::Retry) => return,
+                Err(returned) => offer = returned,
             }
         }
-        state.idle.push((*link, None));
-    }
-
-    fn discard(&self) {
-        let mut state = self.state.borrow_mut();
-        state.open -= 1;
-        while let Some(waiter) = state.waiters.pop_front() {
-            if waiter.offer.send(PoolOffer::Retry).is_ok() {
-                return;
-            }
+        if let PoolOffer::Link(link) = offer {
+            state.idle.push((*link, None));
         }
     }
 
@@ -225,7 +274,10 @@
 pub(super) struct PooledLink {
     link: Option<UpstreamLink>,
     pool: Rc<DatabasePool>,
+    /// Position of the database, if the connection was opened for this use.
+    pub(super) opened_at: Option<LogPosition>,
     given_back: bool,
+    pinned: bool,
 }
 
 impl PooledLink {
@@ -238,11 +290,33 @@
         self.pool.record()
     }
 
+    /// The connection belongs to a transaction from now on: it no longer
+    /// counts as running while the transaction waits.
+    pub(super) fn pin(&mut self) {
+        if !self.pinned {
+            self.pinned = true;
+            self.pool.state.borrow_mut().running -= 1;
+            self.pool.serve_next(None);
+        }
+    }
+
+    /// The database answered a statement, or had no room for it.
+    pub(super) fn note_answer(&self, refused: bool) {
+        self.pool.note_answer(refused);
+    }
+
     /// Gives the connection back for other sessions.
     pub(super) fn release(mut self) {
         if let Some(link) = self.link.take() {
             self.given_back = true;
-            self.pool.give_back(link);
+            self.leave();
+            self.pool.serve_next(Some(link));
+        }
+    }
+
+    fn leave(&self) {
+        if !self.pinned {
+            self.pool.state.borrow_mut().running -= 1;
         }
     }
 }
@@ -250,7 +324,9 @@
 impl Drop for PooledLink {
     fn drop(&mut self) {
         if !self.given_back {
-            self.pool.discard();
+            self.leave();
+            self.pool.state.borrow_mut().open -= 1;
+            self.pool.serve_next(None);
         }
     }
 }
--- a/crates/daemon/src/entry/entry_host.rs
+++ b/crates/daemon/src/entry/entry_host.rs
@@ -3,7 +3,7 @@
 use tokio::{
     net::TcpListener,
     sync::mpsc,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -22,7 +22,7 @@
 /// two readiness probes of a second each, and one on its way.
 const LEAVING_TIME: Duration = Duration::from_millis(2_300);
 /// Time at the end of the grace period that is left for the process to end.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+const EXIT_MARGIN: Duration = Duration::from_millis(800);
 /// Time between two looks at what is still open while the host stops.
 const CLOSING_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after a connection could not be accepted, for want of descriptors.
@@ -79,6 +79,8 @@
         self.enter(ShutdownStage::ClosingAll);
         self.wait_until(end).await;
         self.shared.cancel.cancel();
+        self.shared.tasks.close();
+        let _ = timeout(CLOSING_INTERVAL, self.shared.tasks.wait()).await;
     }
 
     async fn wait_until(&self, until: Instant) {
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -20,6 +20,12 @@
     edges::{CallerProtocol, UpstreamProtocol},
 };
 
+/// Connections to a database that are left to control's questions.
+const SPARE_CONNECTIONS: u32 = 1;
+/// Share of a database's connections below which one host borrows from the
+/// others: a few open transactions would use it up.
+const SMALL_SHARE: u32 = 4;
+
 /// How far a host is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ShutdownStage {
@@ -85,8 +91,11 @@
 
     /// The pool of connections to a database.
     pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
+        let limit = self.connection_limit(record);
+        let hosts = self.view.borrow().entry_hosts();
         let mut pools = self.pools.borrow_mut();
-        pools.entry(record.key.clone()).or_insert_with(|| DatabasePool::new(record)).clone()
+        let pool = pools.entry(record.key.clone());
+        pool.or_insert_with(|| DatabasePool::new(record, hosts, limit)).clone()
     }
 
     /// Closes what is idle beyond this host's share, and the connections to
@@ -104,16 +113,20 @@
         let routes = view.routes();
         let rule = routes.and_then(|table| table.service(&pool.record().service));
         let limit = rule.map_or(1, |rule| rule.max_connections);
-        (limit / view.entry_hosts()).max(1) as usize
+        (limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts()).max(1) as usize
     }
 
-    /// Connections that this host opens to a database at most: twice its even
-    /// share, since callers spread unevenly over hosts.
+    /// Connections that this host opens to a database at most: its even share,
+    /// or beyond where that is too small to bear that callers spread unevenly.
     pub(super) fn connection_limit(&self, record: &InstanceRecord) -> usize {
         let view = self.view.borrow();
         let rule = view.routes().and_then(|table| table.service(&record.service));
-        let limit = rule.map_or(1, |rule| rule.max_connections);
-        (2 * limit).div_ceil(view.entry_hosts()).clamp(1, limit.max(1)) as usize
+        let limit = rule.map_or(1, |rule| rule.max_connections).max(1);
+        let share = limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts();
+        match share {
+            0..SMALL_SHARE => (2 * share + 1).min(limit) as usize,
+            _ => share as usize,
+        }
     }
 
     /// Counts a write or transaction that a planned change of primary waits
--- a/crates/daemon/src/entry/primary_probe.rs
+++ b/crates/daemon/src/entry/primary_probe.rs
@@ -40,7 +40,9 @@
     while let Some(address) = primary_address(shared, service, number) {
         let began = Instant::now();
         if matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_))) {
-            return report(shared, service, number, true);
+            report(shared, service, number, true);
+            // What is slow for other reasons needs no further probe at once.
+            return sleep(REPORT_INTERVAL).await;
         }
         failures += 1;
         if failures >= PROBE_FAILURES {
--- a/crates/daemon/src/entry/session_task.rs
+++ b/crates/daemon/src/entry/session_task.rs
@@ -29,7 +29,8 @@
     }
     shared.sessions.set(shared.sessions.get() + 1);
     let mut lines = LineStream::new(stream);
-    if let Err(error) = run_session(&shared, &mut lines).await {
+    let cancel = shared.cancel.clone();
+    if let Some(Err(error)) = cancel.run_until_cancelled(run_session(&shared, &mut lines)).await {
         tracing::debug!(target: "entry", %error, "a caller's connection broke");
     }
     shared.sessions.set(shared.sessions.get() - 1);
@@ -87,7 +88,11 @@
             return Ok(None);
         }
     };
-    wait_for_routes(shared).await;
+    if !wait_for_routes(shared).await {
+        let hint = "this host has no configuration yet; try again in 500 ms";
+        shared.callers.encode_refusal(out, CallerRefusal::NotRun, hint);
+        return Ok(None);
+    }
     if shared.view.borrow().route(&database).is_some() {
         return Ok(Some(database));
     }
@@ -96,14 +101,15 @@
     Ok(None)
 }
 
-/// Waits until this host has a configuration, as it may after its start.
-async fn wait_for_routes(shared: &EntryShared) {
+/// Waits until this host has a configuration, which it may lack after its
+/// start; false if it still has none.
+async fn wait_for_routes(shared: &EntryShared) -> bool {
     let deadline = Instant::now() + ROUTES_TIMEOUT;
     loop {
         let changed = shared.changed.notified();
         let known = shared.view.borrow().routes_version() > 0;
         if known || timeout_at(deadline, changed).await.is_err() {
-            return;
+            return known;
         }
     }
 }
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -2,7 +2,7 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry::{PrimaryUse, ReadTarget, RestoreStep, SessionState},
+    entry::{PrimaryUse, QueuedStatement, ReadTarget, RestoreStep, SessionState},
     instances::{InstanceKey, InstanceRecord},
     positions::LogPosition,
     routes::{RouteKind, RouteRule},
@@ -13,9 +13,9 @@
     database_pool::{AcquireError, PooledLink},
     entry_shared::{EntryShared, WriteGuard},
     primary_probe::probe_primary,
-    upstream_link::{LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
+    upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
-use crate::edges::{CallerStatement, StatementAction, UpstreamCommand};
+use crate::edges::{CallerStatement, StatementAction, UpstreamCode, UpstreamCommand};
 
 /// Time without an answer after which a primary is probed: longer than nearly
 /// all statements, shorter than the usual timeouts.
@@ -61,6 +61,11 @@
     tried: &mut Vec<InstanceKey>,
 ) -> Result<RunPlace, NoPlace> {
     let service = &limits.route.service;
+    let statement = QueuedStatement {
+        arrived: shared.now(),
+        objective: limits.route.objective,
+        priority: limits.route.priority,
+    };
     loop {
         let now = shared.now();
         let changed = shared.changed.notified();
@@ -74,8 +79,12 @@
             }
         };
         let pool = shared.pool(&record);
-        match pool.acquire(shared, limits.route.priority, limits.deadline).await {
+        match pool.acquire(shared, statement, limits.deadline).await {
             Ok(link) => {
+                if let (Some(number), Some(position)) = (number, link.opened_at) {
+                    let mut view = shared.view.borrow_mut();
+                    view.saw_primary(shared.now(), service, number, now, position);
+                }
                 if !still_usable(shared, service, number) {
                     link.release();
                     continue;
@@ -162,6 +171,9 @@
     let exchange = link.exchange(&*shared.upstreams, out, restoring);
     let result = watch_exchange(shared, &service, number, deadline, exchange).await;
     let now = shared.now();
+    if let Ok(answer) = &result {
+        place.link.note_answer(answer.end == AnswerEnd::Refused(UpstreamCode::Busy));
+    }
     let mut view = shared.view.borrow_mut();
     view.loads.finished(&key, result.is_ok().then(|| now.since(sent_at)));
     if let Ok(UpstreamAnswer { position: Some(position), .. }) = &result {
--- a/crates/daemon/src/entry/upstream_link.rs
+++ b/crates/daemon/src/entry/upstream_link.rs
@@ -67,12 +67,13 @@
 }
 
 impl UpstreamLink {
-    /// Connects to exactly this start of a database.
+    /// Connects to exactly this start of a database, and returns the position
+    /// that it was at.
     pub(super) async fn open(
         protocol: &dyn UpstreamProtocol,
         record: &InstanceRecord,
         caller: &str,
-    ) -> Result<Self, OpenError> {
+    ) -> Result<(Self, Option<LogPosition>), OpenError> {
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(record.address)).await;
         let Ok(Ok(stream)) = connected else {
             return Err(OpenError::Unreachable);
@@ -84,7 +85,7 @@
             UpstreamCommand::Open { service: &record.service, caller, instance: &record.key.id };
         protocol.encode_command(&mut out, open);
         match timeout(OPEN_TIMEOUT, link.opened(protocol, &out)).await {
-            Ok(Ok(result)) => result.map(|()| link),
+            Ok(Ok(result)) => result.map(|position| (link, position)),
             _ => Err(OpenError::Unreachable),
         }
     }
@@ -93,12 +94,12 @@
         &mut self,
         protocol: &dyn UpstreamProtocol,
         out: &[u8],
-    ) -> io::Result<Result<(), OpenError>> {
+    ) -> io::Result<Result<Option<LogPosition>, OpenError>> {
         self.lines.send(out).await?;
         loop {
             let reply = self.next_reply(protocol, None).await?;
             match reply {
-                UpstreamReply::Ready { .. } => return Ok(Ok(())),
+                UpstreamReply::Ready { position, .. } => return Ok(Ok(position)),
                 UpstreamReply::Refused(UpstreamCode::Misrouted) => {
                     return Ok(Err(OpenError::Misrouted));
                 }
--- a/crates/decisions/src/control/control_command.rs
+++ b/crates/decisions/src/control/control_command.rs
@@ -5,7 +5,7 @@
 use super::{GroupRecord, HostRecord, MemberRecord, Plan};
 use crate::{
     identity::{DatabaseName, GroupName, HostId},
-    instances::InstanceKey,
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     routes::RouteTable,
 };
 
@@ -78,6 +78,11 @@
         /// Wall-clock time, in milliseconds since 1970.
         at_unix_ms: u64,
     },
+    /// A database announced itself, or something about it changed; hosts that
+    /// restart know by this where to look until it announces itself again.
+    InstanceSeen(InstanceRecord),
+    /// A database is gone.
+    InstanceGone(InstanceDeparture),
     /// A host may hold leases from now on.
     HolderJoined(HostId),
     /// A host holds no lease and is forgotten.
--- a/crates/decisions/src/control/control_state.rs
+++ b/crates/decisions/src/control/control_state.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     identity::{DatabaseName, GroupName, HostId},
+    instances::InstanceRecord,
     outcomes::ResultCode,
     primaries::ServiceTerm,
     routes::RouteTable,
@@ -63,6 +64,9 @@
     /// Primaries by service.
     #[serde(default)]
     pub terms: BTreeMap<Arc<str>, ServiceTerm>,
+    /// Databases as they last announced themselves to control's leader.
+    #[serde(default)]
+    pub instances: BTreeMap<Arc<str>, InstanceRecord>,
     /// Hosts that may hold leases.
     #[serde(default)]
     pub holders: BTreeSet<HostId>,
@@ -118,6 +122,10 @@
             ControlCommand::RoutesReplaced { table, at_unix_ms } => {
                 self.replace_routes(table, *at_unix_ms);
             }
+            ControlCommand::InstanceSeen(record) => {
+                self.instances.insert(record.key.id.clone(), record.clone());
+            }
+            ControlCommand::InstanceGone(departure) => self.remove_instance(departure),
             ControlCommand::HolderJoined(host) => {
                 self.holders.insert(*host);
             }
--- a/crates/decisions/src/control/service_terms.rs
+++ b/crates/decisions/src/control/service_terms.rs
@@ -2,7 +2,7 @@
 
 use super::{ControlState, PlannedChange};
 use crate::{
-    instances::InstanceKey,
+    instances::{InstanceDeparture, InstanceKey},
     outcomes::ResultCode,
     primaries::{ServiceTerm, TermPhase},
     routes::RouteTable,
@@ -27,6 +27,13 @@
         self.record_audit(&Arc::from(UNNAMED_OPERATOR), &name, changes, ResultCode::Done, at_unix_ms);
     }
 
+    pub(super) fn remove_instance(&mut self, departure: &InstanceDeparture) {
+        let known = self.instances.get(&departure.id).map(|record| record.key.born_ms);
+        if known.is_some_and(|known| departure.born_ms.is_none_or(|born| known <= born)) {
+            self.instances.remove(&departure.id);
+        }
+    }
+
     /// Sets the first primary of a service, or the new start of its present
     /// one.
     pub(super) fn know_primary(&mut self, service: &Arc<str>, primary: &InstanceKey) {
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -118,6 +118,7 @@
         let known: Vec<HostId> =
             host.settings.seeds.union(host.agreement.voters()).copied().collect();
         known.into_iter().for_each(|peer| host.know_peer(peer));
+        host.recall_instances(now);
         host
     }
 
@@ -276,6 +277,9 @@
             | ControlCommand::ServiceTermEnded { service, .. }
             | ControlCommand::ServicePrimaryChosen { service, .. }
             | ControlCommand::ServiceTermStarted { service, .. } => self.note_term(service),
+            ControlCommand::InstanceSeen(record) => {
+                return self.announced_elsewhere(now, vec![record.clone()]);
+            }
             _ => return,
         }
         self.entry_index = index;
@@ -298,6 +302,7 @@
         snapshot.voters.iter().for_each(|voter| self.know_peer(*voter));
         self.control = snapshot.state;
         self.entry_index = self.control.applied;
+        self.recall_instances(now);
         self.push_state(now);
     }
 
--- a/crates/decisions/src/control_host/directory_flow.rs
+++ b/crates/decisions/src/control_host/directory_flow.rs
@@ -1,6 +1,7 @@
 use super::{ControlEffect, ControlHost, ControlMessage, ControlNote, EntryUpdate};
 use crate::{
     clock::Moment,
+    control::ControlCommand,
     instances::{DirectoryChange, InstanceDeparture, InstanceRecord},
 };
 
@@ -35,6 +36,13 @@
         }
     }
 
+    /// Looks for databases where they were before this host restarted, until
+    /// they announce themselves again.
+    pub(super) fn recall_instances(&mut self, now: Moment) {
+        let records: Vec<InstanceRecord> = self.control.instances.values().cloned().collect();
+        self.announced_elsewhere(now, records);
+    }
+
     /// A database said at this host that it is gone.
     pub(super) fn departed(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.depart(&departure) {
@@ -65,6 +73,9 @@
         let silent = self.directory.expire(now, self.settings.announcement_lifetime);
         if !silent.is_empty() {
             self.update_entries(EntryUpdate::Expired(silent.clone()));
+            for departure in silent.clone() {
+                self.propose(now, ControlCommand::InstanceGone(departure));
+            }
             self.tell_peers(&ControlMessage::Expired(silent));
         }
     }
--- a/crates/decisions/src/control_host/entry_flow.rs
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -75,8 +75,8 @@
             return;
         };
         let duration = notes.leases.grant(now, host);
-        let live = self.control.holders.iter().filter(|h| notes.leases.is_live(now, **h));
-        let entry_hosts = live.count() as u32;
+        // Hosts that are down for a moment keep their share of connections.
+        let entry_hosts = self.control.holders.len() as u32;
         let required_index = self.entry_index;
         let grant = EntryUpdate::Grant { sent_at, duration, required_index, entry_hosts };
         self.send_entry(host, grant);
--- a/crates/decisions/src/control_host/messages.rs
+++ b/crates/decisions/src/control_host/messages.rs
@@ -63,7 +63,7 @@
         duration: Duration,
         /// Index that must be applied before the lease counts.
         required_index: u64,
-        /// Entry hosts that hold a lease.
+        /// Entry hosts that share the databases' connections.
         entry_hosts: u32,
     },
     /// The sender does not lead.
--- a/crates/decisions/src/control_host/term_flow.rs
+++ b/crates/decisions/src/control_host/term_flow.rs
@@ -9,7 +9,7 @@
     clock::Moment,
     control::ControlCommand,
     identity::HostId,
-    instances::{InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
     primaries::{HolderView, InstanceStatus, ServiceTerm, TermChange, TermPhase, TermStep},
 };
 
@@ -84,6 +84,20 @@
                 });
             }
         }
+        for record in self.directory.records() {
+            let known = self.control.instances.get(&record.key.id);
+            if known.is_none_or(|known| !known.says_the_same(record)) {
+                wanted.push(ControlCommand::InstanceSeen(record.clone()));
+            }
+        }
+        for record in self.control.instances.values() {
+            if self.directory.has_departed(&record.key) {
+                wanted.push(ControlCommand::InstanceGone(InstanceDeparture {
+                    id: record.key.id.clone(),
+                    born_ms: Some(record.key.born_ms),
+                }));
+            }
+        }
         for term in self.control.terms.values() {
             if let Some(planned) = self.reason_to_end(now, term) {
                 wanted.push(ControlCommand::ServiceTermEnded {
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -16,8 +16,9 @@
 
 /// Part of the accepted age that is kept for the way to the replica.
 const AGE_MARGIN: Duration = Duration::from_millis(50);
-/// Age of a mark at which a replica that is not behind has received it.
-const SETTLED_AGE: Duration = Duration::from_millis(300);
+/// Age of a mark at which replicas usually hold it. A replica that does not
+/// refuses at once and is left out for a while.
+const SETTLED_AGE: Duration = Duration::from_millis(80);
 /// How much dearer a read is at the primary, which alone takes the writes.
 const PRIMARY_WEIGHT: f64 = 1.5;
 /// How much dearer a read is in another data centre.
--- a/crates/decisions/src/entry/mod.rs
+++ b/crates/decisions/src/entry/mod.rs
@@ -3,12 +3,16 @@
 
 mod connection_state;
 mod entry_view;
+mod inflight_window;
 mod instance_load;
+mod queue_order;
 mod read_marks;
 mod session_state;
 
 pub use connection_state::{ConnectionState, RestoreStep};
 pub use entry_view::{EntryView, PrimaryUse, ReadNeed, ReadTarget};
+pub use inflight_window::InflightWindow;
 pub use instance_load::{InstanceLoad, LoadTable};
+pub use queue_order::{QueuedStatement, next_in_queue};
 pub use read_marks::ReadMarks;
 pub use session_state::{PreparedShape, SessionState, TransactionPhase};
--- a/crates/decisions/src/host/control_flow.rs
+++ b/crates/decisions/src/host/control_flow.rs
@@ -111,6 +111,8 @@
         match &command {
             // Hosts that are configured by number have no part in these.
             ControlCommand::RoutesReplaced { .. }
+            | ControlCommand::InstanceSeen(_)
+            | ControlCommand::InstanceGone(_)
             | ControlCommand::HolderJoined(_)
             | ControlCommand::HolderLeft(_)
             | ControlCommand::ServicePrimaryKnown { .. }
--- a/crates/decisions/src/instances/instance_directory.rs
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -72,6 +72,11 @@
         gone
     }
 
+    /// True if this start of a database said that it is gone.
+    pub fn has_departed(&self, key: &InstanceKey) -> bool {
+        self.departed.get(&key.id).is_some_and(|born| key.born_ms <= *born)
+    }
+
     /// Removes one start of a database that may announce itself again.
     pub fn forget(&mut self, departure: &InstanceDeparture) {
         let known = self.instances.get(&departure.id).map(|heard| heard.record.key.born_ms);
