Follow a host that joins until it has had time to answer

Cause: a leader that led for longer than 10 s dropped a joining host at once, since its silence was counted from the election.

--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -64,6 +64,8 @@
     /// Send time of the newest message that was answered.
     pub(super) acknowledged_at: Option<Moment>,
     pub(super) sent_at: Moment,
+    /// When this leader began to follow it.
+    pub(super) followed_since: Moment,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -25,6 +25,7 @@
             incarnation: 0,
             acknowledged_at: None,
             sent_at: now,
+            followed_since: now,
         }
     }
 }
@@ -271,7 +272,7 @@
             voters.contains(host) && !follower.eligible && answers_for_voters
         });
         let silence = |follower: &FollowerProgress| {
-            now.since(follower.acknowledged_at.unwrap_or(leader.elected_at))
+            now.since(follower.acknowledged_at.unwrap_or(follower.followed_since))
         };
         let caught_up = leader.followers.iter().find(|(host, follower)| {
             !voters.contains(host)
@@ -297,7 +298,7 @@
                 leader.followers.retain(|host, follower| {
                     voters.contains(host)
                         || self.settings.first_voters.contains(host)
-                        || now.since(follower.acknowledged_at.unwrap_or(leader.elected_at))
+                        || now.since(follower.acknowledged_at.unwrap_or(follower.followed_since))
                             < LEARNER_SILENCE
                 });
                 return;
--- /dev/null
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -0,0 +1,387 @@
+//! Control hosts on a simulated clock and network: links with a delay, disks
+//! with a sync time, hosts that stop, freeze, lose disks or are cut off.
+
+#![allow(dead_code, missing_docs)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use hawthornstack_decisions::{
+    agreement::JournalRecord,
+    clock::Moment,
+    control_host::{
+        ControlEffect, ControlEvent, ControlHost, ControlSettings, EntryReport, EntryUpdate,
+        OperatorOrder, OrderAnswer, PromoteResult,
+    },
+    identity::HostId,
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
+    positions::LogPosition,
+    primaries::InstanceStatus,
+    routes::{RouteTable, ServiceRule, TrafficLimits},
+};
+
+/// One way between two hosts.
+const LINK_DELAY: Duration = Duration::from_millis(1);
+/// Time of a sync.
+const SYNC_TIME: Duration = Duration::from_millis(1);
+
+pub struct WorldHost {
+    pub host: Option<ControlHost>,
+    pub disk: Vec<JournalRecord>,
+    pub frozen: bool,
+    pub sync_time: Duration,
+    boot: u64,
+    unsynced: Vec<JournalRecord>,
+    dialled: BTreeSet<HostId>,
+    linked: BTreeSet<HostId>,
+}
+
+enum Happening {
+    Event { to: HostId, boot: u64, event: ControlEvent },
+    Synced { host: HostId, boot: u64, number: u64, records: Vec<JournalRecord> },
+}
+
+pub struct ControlWorld {
+    pub now: Moment,
+    pub hosts: BTreeMap<HostId, WorldHost>,
+    pub cut: BTreeSet<(HostId, HostId)>,
+    pub answers: BTreeMap<u64, OrderAnswer>,
+    pub updates: Vec<(HostId, EntryUpdate)>,
+    pub promoted: Vec<(Moment, HostId, InstanceKey, u64)>,
+    pub instances: BTreeMap<Arc<str>, InstanceRecord>,
+    seeds: BTreeSet<HostId>,
+    queue: BTreeMap<(Moment, u64), Happening>,
+    count: u64,
+}
+
+impl ControlWorld {
+    /// Starts `count` hosts for the first time, all of them seeds.
+    pub fn start(count: u32) -> Self {
+        let seeds: BTreeSet<HostId> = (1..=count).map(HostId).collect();
+        let mut world = Self {
+            now: Moment::from_millis(1_000),
+            hosts: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            updates: Vec::new(),
+            promoted: Vec::new(),
+            instances: BTreeMap::new(),
+            seeds: seeds.clone(),
+            queue: BTreeMap::new(),
+            count: 0,
+        };
+        for id in seeds {
+            world.boot(id, true);
+        }
+        world
+    }
+
+    /// Starts a host with what its disk holds.
+    pub fn boot(&mut self, id: HostId, bootstrap: bool) {
+        let settings = ControlSettings {
+            me: id,
+            seeds: self.seeds.clone(),
+            bootstrap,
+            election_timeout: Duration::from_millis(500),
+            heartbeat_interval: Duration::from_millis(125),
+            lease: Duration::from_millis(3_500),
+            announcement_lifetime: Duration::from_secs(12),
+            seed: self.count + 7,
+        };
+        let known = self.hosts.remove(&id);
+        let (disk, boot) = known.map_or((Vec::new(), 1), |host| (host.disk, host.boot + 1));
+        let host = ControlHost::new(settings, disk.clone(), self.now);
+        let host = WorldHost {
+            host: Some(host),
+            disk,
+            frozen: false,
+            sync_time: SYNC_TIME,
+            boot,
+            unsynced: Vec::new(),
+            dialled: BTreeSet::new(),
+            linked: BTreeSet::new(),
+        };
+        self.hosts.insert(id, host);
+        self.step(id, ControlEvent::Tick);
+    }
+
+    /// Kills a host; its disk keeps what was synced.
+    pub fn kill(&mut self, id: HostId) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.host = None;
+            host.unsynced.clear();
+        }
+        for other in self.hosts.values_mut() {
+            other.linked.remove(&id);
+        }
+    }
+
+    /// Kills a host and empties its disk.
+    pub fn wipe(&mut self, id: HostId) {
+        self.kill(id);
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.disk.clear();
+        }
+    }
+
+    /// Cuts a host off from others, or joins it again.
+    pub fn isolate(&mut self, id: HostId, others: &[HostId], cut: bool) {
+        for other in others.iter().filter(|other| **other != id) {
+            for pair in [(id, *other), (*other, id)] {
+                match cut {
+                    true => self.cut.insert(pair),
+                    false => self.cut.remove(&pair),
+                };
+            }
+        }
+    }
+
+    pub fn host(&self, id: HostId) -> Option<&ControlHost> {
+        self.hosts.get(&id)?.host.as_ref()
+    }
+
+    /// The host that leads and can prove it.
+    pub fn leader(&self) -> Option<HostId> {
+        let leads = |id: &HostId| self.host(*id).is_some_and(|host| host.is_current(self.now));
+        self.hosts.keys().copied().find(leads)
+    }
+
+    pub fn voters(&self, id: HostId) -> BTreeSet<HostId> {
+        self.host(id).map(|host| host.agreement().voters().clone()).unwrap_or_default()
+    }
+
+    /// Gives an order to a host; the answer appears in `answers`.
+    pub fn order(&mut self, id: HostId, order: OperatorOrder) -> u64 {
+        self.count += 1;
+        let ticket = self.count;
+        self.step(id, ControlEvent::Ordered { ticket, order });
+        ticket
+    }
+
+    /// Sends a configuration to the leader until it is accepted or the time is
+    /// up.
+    pub fn replace(&mut self, version: u64, patience: Duration) -> bool {
+        let end = self.now + patience;
+        while self.now < end {
+            if let Some(leader) = self.leader() {
+                let table = Arc::new(table(version));
+                let ticket =
+                    self.order(leader, OperatorOrder::ReplaceRoutes { table, at_unix_ms: 0 });
+                self.run(Duration::from_millis(100));
+                if matches!(self.answers.get(&ticket), Some(OrderAnswer::Accepted { .. })) {
+                    return true;
+                }
+            }
+            self.run(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn event(&mut self, id: HostId, event: ControlEvent) {
+        self.step(id, event);
+    }
+
+    /// A database announces itself at a host, and the world knows it.
+    pub fn announce(&mut self, id: HostId, record: &InstanceRecord) {
+        self.instances.insert(record.key.id.clone(), record.clone());
+        self.step(id, ControlEvent::Announced(record.clone()));
+    }
+
+    /// An entry host renews at a host, with the state that it was sent.
+    pub fn renew(&mut self, at: HostId, entry: HostId) {
+        let applied = self
+            .updates
+            .iter()
+            .filter(|(host, _)| *host == entry)
+            .filter_map(|(_, update)| match update {
+                EntryUpdate::State { index, .. } => Some(*index),
+                _ => None,
+            })
+            .max()
+            .unwrap_or(0);
+        let report = EntryReport::Renew { sent_at: self.now, applied, routes_version: 0 };
+        self.step(at, ControlEvent::Entry(entry, report));
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        loop {
+            let next_event = self.queue.keys().next().map(|(at, _)| *at);
+            let next_tick = self
+                .hosts
+                .iter()
+                .filter(|(_, host)| !host.frozen)
+                .filter_map(|(id, host)| Some((host.host.as_ref()?.next_due(self.now), *id)))
+                .min();
+            let tick_at = next_tick.map(|(at, _)| at.max(self.now));
+            match (next_event, tick_at) {
+                (Some(at), tick) if at <= end && tick.is_none_or(|tick| at <= tick) => {
+                    self.now = self.now.max(at);
+                    self.take_next();
+                }
+                (_, Some(at)) if at <= end => {
+                    // A tick that changes nothing must not stop the clock.
+                    self.now = at.max(self.now + Duration::from_micros(100));
+                    if let Some((_, id)) = next_tick {
+                        self.step(id, ControlEvent::Tick);
+                    }
+                }
+                _ => {
+                    self.now = end;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn take_next(&mut self) {
+        let Some((_, happening)) = self.queue.pop_first() else {
+            return;
+        };
+        match happening {
+            Happening::Event { to, boot, event } => {
+                let fits = self.hosts.get(&to).is_some_and(|h| h.boot == boot && !h.frozen);
+                if fits {
+                    self.step(to, event);
+                }
+            }
+            Happening::Synced { host, boot, number, records } => {
+                let Some(state) = self.hosts.get_mut(&host).filter(|h| h.boot == boot) else {
+                    return;
+                };
+                if state.host.is_some() {
+                    state.disk.extend(records);
+                    self.step(host, ControlEvent::Persisted(number));
+                }
+            }
+        }
+    }
+
+    fn later(&mut self, delay: Duration, happening: Happening) {
+        self.count += 1;
+        self.queue.insert((self.now + delay, self.count), happening);
+    }
+
+    fn step(&mut self, id: HostId, event: ControlEvent) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&id).and_then(|host| host.host.as_mut()) else {
+            return;
+        };
+        let effects = host.step(now, event);
+        for effect in effects {
+            self.carry_out(id, effect);
+        }
+    }
+
+    fn reaches(&self, from: HostId, to: HostId) -> bool {
+        !self.cut.contains(&(from, to)) && self.hosts.get(&to).is_some_and(|h| h.host.is_some())
+    }
+
+    /// Links are opened by need; the first message says who opened one.
+    fn send(&mut self, from: HostId, to: HostId, event: ControlEvent) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        let is_new = self.hosts.get_mut(&from).is_some_and(|host| host.linked.insert(to));
+        let boot = self.hosts[&to].boot;
+        if is_new {
+            let event = ControlEvent::PeerLinked(from);
+            self.later(LINK_DELAY, Happening::Event { to, boot, event });
+        }
+        self.later(LINK_DELAY, Happening::Event { to, boot, event });
+    }
+
+    fn carry_out(&mut self, id: HostId, effect: ControlEffect) {
+        match effect {
+            ControlEffect::Dial(peer) => {
+                if let Some(host) = self.hosts.get_mut(&id) {
+                    host.dialled.insert(peer);
+                }
+                if self.reaches(id, peer) {
+                    self.hosts.get_mut(&id).map(|host| host.linked.insert(peer));
+                    let boot = self.hosts[&peer].boot;
+                    let event = ControlEvent::PeerLinked(id);
+                    self.later(LINK_DELAY, Happening::Event { to: peer, boot, event });
+                }
+            }
+            ControlEffect::SendPeer(to, message) => {
+                let dialled = self.hosts.get(&id).is_some_and(|h| h.dialled.contains(&to));
+                if dialled {
+                    self.send(id, to, ControlEvent::Peer(id, message));
+                }
+            }
+            ControlEffect::SendEntry(to, update) => self.updates.push((to, update)),
+            ControlEffect::Persist { number, records } => {
+                let (boot, delay) = (self.hosts[&id].boot, self.hosts[&id].sync_time);
+                self.later(delay, Happening::Synced { host: id, boot, number, records });
+            }
+            ControlEffect::AskStatus { key, .. } => {
+                let status = self.instances.get(&key.id).map(|record| InstanceStatus {
+                    role: record.role,
+                    term: 1,
+                    received: LogPosition::new(1, 1),
+                });
+                let boot = self.hosts[&id].boot;
+                let event = ControlEvent::StatusAnswered(key, status);
+                self.later(2 * LINK_DELAY, Happening::Event { to: id, boot, event });
+            }
+            ControlEffect::Promote { service, key, fence } => {
+                self.promoted.push((self.now, id, key.clone(), fence));
+                let record = self.instances.get_mut(&key.id);
+                let result = match record {
+                    Some(record) => {
+                        record.role = InstanceRole::Primary;
+                        PromoteResult::Accepted
+                    }
+                    None => PromoteResult::NotRunning,
+                };
+                let boot = self.hosts[&id].boot;
+                let event = ControlEvent::PromoteAnswered { service, key, result };
+                self.later(2 * LINK_DELAY, Happening::Event { to: id, boot, event });
+            }
+            ControlEffect::Answer(ticket, answer) => {
+                self.answers.insert(ticket, answer);
+            }
+            ControlEffect::Note(_) => {}
+        }
+    }
+}
+
+/// A configuration without routes.
+pub fn table(version: u64) -> RouteTable {
+    RouteTable {
+        version,
+        routes: Vec::new(),
+        services: vec![ServiceRule {
+            name: Arc::from("books"),
+            max_connections: 16,
+            sync_replicas: 0,
+        }],
+        limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        source: Arc::from(format!("{{\"version\":{version}}}")),
+    }
+}
+
+/// A database of the service `books`.
+pub fn instance(id: &str, born_ms: u64, role: InstanceRole) -> InstanceRecord {
+    let port = 8_000 + id.bytes().map(u16::from).sum::<u16>() + (born_ms % 100) as u16;
+    InstanceRecord {
+        key: InstanceKey { id: Arc::from(id), born_ms },
+        sequence: 1,
+        service: Arc::from("books"),
+        address: ([10, 0, 0, 9], port).into(),
+        data_centre: Arc::from("a"),
+        slots: 2,
+        draining: false,
+        role,
+        warm_up: Duration::ZERO,
+    }
+}
+
+/// The farewell of a database.
+pub fn farewell(record: &InstanceRecord) -> InstanceDeparture {
+    InstanceDeparture { id: record.key.id.clone(), born_ms: Some(record.key.born_ms) }
+}
