--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -174,7 +174,9 @@
         deadline: Instant,
     ) -> CallerReply {
         let writes = self.writes(statement);
+        let request = String::from_utf8_lossy(&statement.id);
         let limits = RunLimits {
+            request: &request,
             route,
             deadline,
             needs_primary: writes,
@@ -265,7 +267,9 @@
         read_only: bool,
         deadline: Instant,
     ) -> CallerReply {
+        let request = String::from_utf8_lossy(&statement.id);
         let limits = RunLimits {
+            request: &request,
             route,
             deadline,
             needs_primary: !read_only || route.kind == RouteKind::Primary,
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -23,7 +23,10 @@
 /// doubled with each further refusal.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 /// Most doublings of that time.
-const FULL_DOUBLINGS: u32 = 4;
+const FULL_DOUBLINGS: u32 = 2;
+/// The same for a host that has a connection: it leaves the next place to
+/// those that have none.
+const FULL_PAUSE_WITH_LINK: Duration = Duration::from_millis(1_000);
 
 /// Why no connection was had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,6 +135,25 @@
         PooledLink { link, pool: self.clone(), opened_at: None, given_back: false, pinned: false }
     }
 
+    /// Writes why a statement got no connection to the log.
+    pub(super) fn log_exhausted(&self, id: &str) {
+        let state = self.state.borrow();
+        let full = state.full_until.is_some_and(|until| until > Instant::now());
+        tracing::info!(
+            target: "entry",
+            request = id,
+            instance = %self.record.key,
+            open = state.open,
+            idle = state.idle.len(),
+            running = state.running,
+            window = state.window.limit(),
+            waiting = state.waiters.len(),
+            refusals = state.refusals,
+            full,
+            "no connection in time"
+        );
+    }
+
     /// The database answered a statement, or had no room for it.
     pub(super) fn note_answer(&self, refused: bool) {
         let mut state = self.state.borrow_mut();
@@ -181,7 +203,11 @@
 
     fn note_full(&self) -> Instant {
         let mut state = self.state.borrow_mut();
-        let until = Instant::now() + FULL_PAUSE * 2u32.pow(state.refusals.min(FULL_DOUBLINGS));
+        let pause = match state.open {
+            0 => FULL_PAUSE * 2u32.pow(state.refusals.min(FULL_DOUBLINGS)),
+            _ => FULL_PAUSE_WITH_LINK,
+        };
+        let until = Instant::now() + pause;
         state.refusals += 1;
         state.full_until = Some(until);
         until
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -26,6 +26,11 @@
 /// others: a few open transactions would use it up.
 const SMALL_SHARE: u32 = 4;
 
+/// Part of its share that a host keeps open while idle. Databases hold the
+/// connections of hosts that lost power for seconds, and the rest of their
+/// places is all that the hosts have when they are back.
+const IDLE_PART: u32 = 4;
+
 /// How far a host is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ShutdownStage {
@@ -113,7 +118,8 @@
         let routes = view.routes();
         let rule = routes.and_then(|table| table.service(&pool.record().service));
         let limit = rule.map_or(1, |rule| rule.max_connections);
-        (limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts()).max(1) as usize
+        let share = limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts();
+        (share / IDLE_PART).max(1) as usize
     }
 
     /// Connections that this host opens to a database at most: its even share,
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -47,6 +47,8 @@
 
 /// What a statement may use until when.
 pub(super) struct RunLimits<'a> {
+    /// Id of the statement, for the log.
+    pub(super) request: &'a str,
     pub(super) route: &'a RouteRule,
     pub(super) deadline: Instant,
     pub(super) needs_primary: bool,
@@ -93,7 +95,10 @@
                 let guard = guard.filter(|_| limits.writes);
                 return Ok(RunPlace { link, service: service.clone(), number, after, _guard: guard });
             }
-            Err(AcquireError::OutOfTime) => return Err(NoPlace::NoConnection),
+            Err(AcquireError::OutOfTime) => {
+                pool.log_exhausted(limits.request);
+                return Err(NoPlace::NoConnection);
+            }
             Err(AcquireError::Misrouted) => note_failure(shared, &record.key, None, service),
             Err(AcquireError::Unreachable) => note_failure(shared, &record.key, number, service),
         }
