--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -180,6 +180,7 @@
             route,
             deadline,
             needs_primary: writes,
+            may_move: !writes && route.kind != RouteKind::Primary,
             writes,
             last_commit: self.state.last_commit,
         };
@@ -272,7 +273,8 @@
             request: &request,
             route,
             deadline,
-            needs_primary: !read_only || route.kind == RouteKind::Primary,
+            needs_primary: !read_only,
+            may_move: read_only && route.kind != RouteKind::Primary,
             writes: !read_only,
             last_commit: self.state.last_commit,
         };
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -20,6 +20,9 @@
 /// Time without an answer after which a primary is probed: longer than nearly
 /// all statements, shorter than the usual timeouts.
 const PROBE_AFTER: Duration = Duration::from_millis(300);
+/// Time for which a read waits for one database before the choice is made
+/// again: others may have become free, or may hold the position by now.
+const MOVE_AFTER: Duration = Duration::from_millis(40);
 /// Pause before a database that had no room is asked again.
 const BUSY_PAUSE: Duration = Duration::from_millis(8);
 /// Pause after a database could not be reached.
@@ -52,6 +55,8 @@
     pub(super) route: &'a RouteRule,
     pub(super) deadline: Instant,
     pub(super) needs_primary: bool,
+    /// Another database may turn out better while it waits for one.
+    pub(super) may_move: bool,
     pub(super) writes: bool,
     pub(super) last_commit: Option<LogPosition>,
 }
@@ -81,7 +86,15 @@
             }
         };
         let pool = shared.pool(&record);
-        match pool.acquire(shared, statement, limits.deadline).await {
+        let until = match limits.may_move {
+            true => limits.deadline.min(Instant::now() + MOVE_AFTER),
+            false => limits.deadline,
+        };
+        shared.view.borrow_mut().loads.started(&record.key);
+        let acquired = pool.acquire(shared, statement, until).await;
+        shared.view.borrow_mut().loads.finished(&record.key, None);
+        match acquired {
+            Err(AcquireError::OutOfTime) if Instant::now() < limits.deadline => continue,
             Ok(link) => {
                 if let (Some(number), Some(position)) = (number, link.opened_at) {
                     let mut view = shared.view.borrow_mut();
