--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -1,6 +1,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use hawthornstack_decisions::{
+    clock::Moment,
     entry::{SessionState, TransactionPhase},
     instances::InstanceKey,
     positions::LogPosition,
@@ -52,18 +53,22 @@
     pinned: Option<RunPlace>,
     /// The pinned transaction has written.
     wrote: bool,
+    /// When the caller asked for the session, until its first operation ends:
+    /// a caller that opened it for that operation has waited since then.
+    opened: Option<Moment>,
     /// Position of the last answer.
     pub(super) position: Option<LogPosition>,
 }
 
 impl CallerSession {
-    pub(super) fn new(shared: &Rc<EntryShared>, database: Arc<str>) -> Self {
+    pub(super) fn new(shared: &Rc<EntryShared>, database: Arc<str>, opened: Moment) -> Self {
         Self {
             shared: shared.clone(),
             database,
             state: SessionState::default(),
             pinned: None,
             wrote: false,
+            opened: Some(opened),
             position: None,
         }
     }
@@ -148,11 +153,12 @@
             return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
         };
         let deadline = Instant::now() + route.timeout;
+        let arrived = self.opened.take().unwrap_or_else(|| self.shared.now());
         match self.state.transaction {
             TransactionPhase::Begun { read_only } => {
-                self.run_first(&route, statement, read_only, deadline).await
+                self.run_first(&route, statement, read_only, arrived, deadline).await
             }
-            _ => self.run_single(&route, statement, deadline).await,
+            _ => self.run_single(&route, statement, arrived, deadline).await,
         }
     }
 
@@ -171,6 +177,7 @@
         &mut self,
         route: &RouteRule,
         statement: &CallerStatement,
+        arrived: Moment,
         deadline: Instant,
     ) -> CallerReply {
         let writes = self.writes(statement);
@@ -178,6 +185,7 @@
         let limits = RunLimits {
             request: &request,
             route,
+            arrived,
             deadline,
             needs_primary: writes,
             may_move: !writes && route.kind != RouteKind::Primary,
@@ -266,12 +274,14 @@
         route: &RouteRule,
         statement: &CallerStatement,
         read_only: bool,
+        arrived: Moment,
         deadline: Instant,
     ) -> CallerReply {
         let request = String::from_utf8_lossy(&statement.id);
         let limits = RunLimits {
             request: &request,
             route,
+            arrived,
             deadline,
             needs_primary: !read_only,
             may_move: read_only && route.kind != RouteKind::Primary,
--- a/crates/daemon/src/entry/session_task.rs
+++ b/crates/daemon/src/entry/session_task.rs
@@ -1,6 +1,7 @@
 use std::{io, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use hawthornstack_decisions::clock::Moment;
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep_until, timeout, timeout_at},
@@ -38,10 +39,10 @@
 
 async fn run_session(shared: &Rc<EntryShared>, lines: &mut LineStream) -> io::Result<()> {
     let mut out = Vec::new();
-    let Some(database) = open_session(shared, lines, &mut out).await? else {
+    let Some((database, opened)) = open_session(shared, lines, &mut out).await? else {
         return lines.send(&out).await;
     };
-    let mut session = CallerSession::new(shared, database);
+    let mut session = CallerSession::new(shared, database, opened);
     shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
     lines.send(&out).await?;
     while let Some(line) = next_message(shared, lines, &mut session).await? {
@@ -63,13 +64,13 @@
     Ok(())
 }
 
-/// Reads which database the caller wants; `None` with an answer in `out` if
+/// Reads which database the caller wants, and since when; `None` with an answer in `out` if
 /// there is no session.
 async fn open_session(
     shared: &Rc<EntryShared>,
     lines: &mut LineStream,
     out: &mut Vec<u8>,
-) -> io::Result<Option<Arc<str>>> {
+) -> io::Result<Option<(Arc<str>, Moment)>> {
     let Ok(first) = timeout(CONNECT_TIMEOUT, lines.next_line()).await else {
         return Ok(None);
     };
@@ -88,13 +89,14 @@
             return Ok(None);
         }
     };
+    let opened = shared.now();
     if !wait_for_routes(shared).await {
         let hint = "this host has no configuration yet; try again in 500 ms";
         shared.callers.encode_refusal(out, CallerRefusal::NotRun, hint);
         return Ok(None);
     }
     if shared.view.borrow().route(&database).is_some() {
-        return Ok(Some(database));
+        return Ok(Some((database, opened)));
     }
     let hint = "no route has this name";
     shared.callers.encode_refusal(out, CallerRefusal::UnknownDatabase, hint);
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -53,6 +53,8 @@
     /// Id of the statement, for the log.
     pub(super) request: &'a str,
     pub(super) route: &'a RouteRule,
+    /// Since when the caller has waited, as far as this host can tell.
+    pub(super) arrived: Moment,
     pub(super) deadline: Instant,
     pub(super) needs_primary: bool,
     /// Another database may turn out better while it waits for one.
@@ -69,7 +71,7 @@
 ) -> Result<RunPlace, NoPlace> {
     let service = &limits.route.service;
     let statement = QueuedStatement {
-        arrived: shared.now(),
+        arrived: limits.arrived,
         objective: limits.route.objective,
         priority: limits.route.priority,
     };
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -155,7 +155,9 @@
             let incarnation = state.rng.random_range(1..=u64::MAX);
             state.change_hard(|hard| hard.incarnation = incarnation);
         }
-        state.reset_election(now);
+        // Nobody is known to lead: the host asks as soon as it may vote itself.
+        let spread = state.settings.election_timeout / 4;
+        state.election_due = now + state.settings.election_timeout + state.jittered(spread);
         state
     }
 
@@ -344,9 +346,13 @@
     }
 
     pub(super) fn reset_election(&mut self, now: Moment) {
-        let shortest = self.settings.election_timeout.as_micros() as u64;
-        let timeout = self.rng.random_range(shortest..2 * shortest);
-        self.election_due = now + Duration::from_micros(timeout);
+        self.election_due = now + self.jittered(self.settings.election_timeout);
+    }
+
+    /// A random time from `shortest` to twice that.
+    pub(super) fn jittered(&mut self, shortest: Duration) -> Duration {
+        let shortest = (shortest.as_micros() as u64).max(1);
+        Duration::from_micros(self.rng.random_range(shortest..2 * shortest))
     }
 
     pub(super) fn change_hard(&mut self, change: impl FnOnce(&mut HardState)) {
--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -6,6 +6,9 @@
 };
 use crate::{clock::Moment, control::ControlCommand, identity::HostId};
 
+/// Pre-votes that a host without a leader holds in one election timeout.
+const PRE_VOTES_PER_TIMEOUT: u32 = 4;
+
 impl AgreementState {
     pub(super) fn tick(&mut self, now: Moment) {
         match &self.role {
@@ -24,7 +27,10 @@
     }
 
     fn start_pre_vote(&mut self, now: Moment) {
-        self.reset_election(now);
+        // Asking again soon is harmless: a pre-vote changes nothing, and the
+        // others may only just have started.
+        let retry = self.settings.election_timeout / PRE_VOTES_PER_TIMEOUT;
+        self.election_due = now + self.jittered(retry);
         if !self.log.voters().contains(&self.me) {
             return;
         }
