--- a/crates/daemon/src/control/journal_thread.rs
+++ b/crates/daemon/src/control/journal_thread.rs
@@ -9,10 +9,7 @@
 use hawthornstack_decisions::{agreement::JournalRecord, control_host::ControlEvent};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{
-    journal::JournalFile,
-    kernel::KernelError,
-};
+use crate::{journal::JournalFile, kernel::KernelError};
 
 /// Pause before a write that the disk refused is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -10,9 +10,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{
-    links::{FrameReader, FrameWriter, accept_link, host_address, open_link},
-};
+use crate::links::{FrameReader, FrameWriter, accept_link, host_address, open_link};
 
 /// Pause before a control host is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/daemon/src/edges/caller_protocol.rs
+++ b/crates/daemon/src/edges/caller_protocol.rs
@@ -126,10 +126,5 @@
     fn encode_refusal(&self, out: &mut Vec<u8>, refusal: CallerRefusal, hint: &str);
 
     /// Appends the end of an answer.
-    fn encode_ready(
-        &self,
-        out: &mut Vec<u8>,
-        phase: SessionPhase,
-        position: Option<LogPosition>,
-    );
+    fn encode_ready(&self, out: &mut Vec<u8>, phase: SessionPhase, position: Option<LogPosition>);
 }
--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -1,9 +1,4 @@
-use std::{
-    collections::BTreeMap,
-    io,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, io, rc::Rc, time::Duration};
 
 use hawthornstack_decisions::{
     control_host::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
@@ -66,8 +61,7 @@
     ) {
         let (events, mut received) = mpsc::unbounded_channel();
         let seeds = shared.settings.seeds.clone();
-        let mut links =
-            Self { shared, links: BTreeMap::new(), leader: None, events, confirmed: 0 };
+        let mut links = Self { shared, links: BTreeMap::new(), leader: None, events, confirmed: 0 };
         links.dial_all(&seeds);
         let mut renew_at = Instant::now();
         loop {
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -244,9 +244,7 @@
         });
         match outcome.await {
             Err(_) => Err(AcquireError::OutOfTime),
-            Ok(Some(PoolOffer::Link(link))) => {
-                Ok(Some(self.lend(Some(*link))))
-            }
+            Ok(Some(PoolOffer::Link(link))) => Ok(Some(self.lend(Some(*link)))),
             Ok(_) => Ok(None),
         }
     }
--- a/crates/daemon/src/entry/entry_settings.rs
+++ b/crates/daemon/src/entry/entry_settings.rs
@@ -1,8 +1,4 @@
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::identity::HostId;
 
--- a/crates/daemon/src/entry/session_task.rs
+++ b/crates/daemon/src/entry/session_task.rs
@@ -168,12 +168,7 @@
     shared.callers.encode_ready(out, session.phase(), session.position);
 }
 
-fn refuse_malformed(
-    shared: &EntryShared,
-    out: &mut Vec<u8>,
-    hint: &str,
-    session: &CallerSession,
-) {
+fn refuse_malformed(shared: &EntryShared, out: &mut Vec<u8>, hint: &str, session: &CallerSession) {
     shared.callers.encode_refusal(out, CallerRefusal::Malformed, hint);
     shared.callers.encode_ready(out, session.phase(), session.position);
 }
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -108,7 +108,13 @@
                 }
                 let guard = number.map(|number| shared.begin_write(service, number));
                 let guard = guard.filter(|_| limits.writes);
-                return Ok(RunPlace { link, service: service.clone(), number, after, _guard: guard });
+                return Ok(RunPlace {
+                    link,
+                    service: service.clone(),
+                    number,
+                    after,
+                    _guard: guard,
+                });
             }
             Err(AcquireError::OutOfTime) => {
                 pool.log_exhausted(limits.request);
--- a/crates/decisions/src/agreement/mod.rs
+++ b/crates/decisions/src/agreement/mod.rs
@@ -13,9 +13,7 @@
 
 pub use agreement_effect::{AgreementEffect, AgreementEvent};
 pub use agreement_message::{AgreementMessage, AppendMessage, AppendReply, VoteReply, VoteRequest};
-pub use agreement_state::{
-    AgreementSettings, AgreementState, COMPACTION_ENTRIES, ProposeError,
-};
+pub use agreement_state::{AgreementSettings, AgreementState, COMPACTION_ENTRIES, ProposeError};
 pub use entry_log::EntryLog;
 pub use journal_record::{
     AdmittedVoter, EntryPayload, HardState, JournalRecord, LogEntry, StateSnapshot,
--- a/crates/decisions/src/control/service_terms.rs
+++ b/crates/decisions/src/control/service_terms.rs
@@ -24,7 +24,13 @@
         self.routes = Some(table.clone());
         let name = Arc::from(format!("routes-{}", table.version));
         let changes = vec![PlannedChange::ReplaceRoutes(table.version)];
-        self.record_audit(&Arc::from(UNNAMED_OPERATOR), &name, changes, ResultCode::Done, at_unix_ms);
+        self.record_audit(
+            &Arc::from(UNNAMED_OPERATOR),
+            &name,
+            changes,
+            ResultCode::Done,
+            at_unix_ms,
+        );
     }
 
     pub(super) fn remove_instance(&mut self, departure: &InstanceDeparture) {
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -5,8 +5,7 @@
 };
 
 use super::{
-    ControlEffect, ControlEvent, ControlMessage, ControlNote, EntryUpdate,
-    order_flow::PendingOrder,
+    ControlEffect, ControlEvent, ControlMessage, ControlNote, EntryUpdate, order_flow::PendingOrder,
 };
 use crate::{
     agreement::{
@@ -241,7 +240,9 @@
                 AgreementEffect::Persist { number, records } => {
                     self.effects.push(ControlEffect::Persist { number, records });
                 }
-                AgreementEffect::Committed { index, payload } => self.committed(now, index, payload),
+                AgreementEffect::Committed { index, payload } => {
+                    self.committed(now, index, payload)
+                }
                 AgreementEffect::Installed(snapshot) => self.installed(now, *snapshot),
                 AgreementEffect::Elected(term) => self.elected(now, term),
                 AgreementEffect::Deposed => self.deposed(),
--- a/crates/decisions/src/control_host/entry_flow.rs
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -50,10 +50,8 @@
         routes_version: u64,
     ) {
         let progress = EntryProgress { applied, routes_version, linked: true, heard_at: now };
-        let caught_up = self
-            .entries
-            .insert(host, progress)
-            .is_some_and(|before| before.applied < applied);
+        let caught_up =
+            self.entries.insert(host, progress).is_some_and(|before| before.applied < applied);
         if !self.is_current(now) {
             let leader = self.agreement.leader();
             return self.send_entry(host, EntryUpdate::NotLeader { leader });
--- a/crates/decisions/src/control_host/messages.rs
+++ b/crates/decisions/src/control_host/messages.rs
@@ -12,8 +12,7 @@
 };
 
 /// Messages between control hosts.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ControlMessage {
     /// Agreement on the log.
     Agreement(AgreementMessage),
@@ -28,8 +27,7 @@
 }
 
 /// What an entry host tells a control host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryReport {
     /// Asks for a lease and says what is applied.
     Renew {
@@ -52,8 +50,7 @@
 }
 
 /// What a control host tells an entry host.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum EntryUpdate {
     /// A lease, counted from the moment it was asked for.
     Grant {
@@ -98,8 +95,7 @@
 }
 
 /// Who opens a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkRole {
     /// A control host.
     Control,
@@ -108,8 +104,7 @@
 }
 
 /// One frame between two hosts.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum LinkFrame {
     /// The first frame of a link.
     Hello {
--- a/crates/decisions/src/control_host/term_flow.rs
+++ b/crates/decisions/src/control_host/term_flow.rs
@@ -133,9 +133,11 @@
             TermPhase::Steady => match self.directory.get(&term.primary.id) {
                 Some(record) if record.draining => Some(true),
                 Some(record) if record.role == InstanceRole::Replica => {
-                    (now.since(steady_since) > ROLE_SETTLING).then_some(false)
+                    let silence = self.directory.silence(now, &record.key.id).unwrap_or_default();
+                    (now.since(steady_since) > ROLE_SETTLING + silence).then_some(false)
                 }
                 Some(_) => None,
+                None if self.directory.has_departed(&term.primary) => Some(false),
                 None => {
                     let lifetime = self.settings.announcement_lifetime;
                     (now.since(steady_since) > lifetime).then_some(false)
@@ -159,11 +161,8 @@
         };
         let applied: BTreeMap<HostId, u64> =
             self.entries.iter().map(|(host, entry)| (*host, entry.applied)).collect();
-        let view = HolderView {
-            holders: &self.control.holders,
-            leases: &notes.leases,
-            applied: &applied,
-        };
+        let view =
+            HolderView { holders: &self.control.holders, leases: &notes.leases, applied: &applied };
         let mut steps = Vec::new();
         let moving = self.control.terms.values().filter(|term| !term.is_steady());
         let mut changes = BTreeMap::new();
@@ -197,10 +196,7 @@
                 }
             }
             TermStep::Choose(chosen) => {
-                self.propose(
-                    now,
-                    ControlCommand::ServicePrimaryChosen { service, number, chosen },
-                );
+                self.propose(now, ControlCommand::ServicePrimaryChosen { service, number, chosen });
             }
             TermStep::Promote(key) => {
                 let fence = self.agreement.term();
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -209,9 +209,7 @@
             return PrimaryUse::NotNow;
         };
         match self.directory.find(&term.primary) {
-            Some(record) => {
-                PrimaryUse::Usable { record: record.clone(), number: term.number }
-            }
+            Some(record) => PrimaryUse::Usable { record: record.clone(), number: term.number },
             None => PrimaryUse::NotNow,
         }
     }
--- a/crates/decisions/src/entry/queue_order.rs
+++ b/crates/decisions/src/entry/queue_order.rs
@@ -27,11 +27,7 @@
 /// objective, work arrives faster than it is done: then the newest goes first,
 /// since in order of arrival all would be answered just too late. What is late
 /// already goes when nothing else waits.
-pub fn next_in_queue(
-    queue: &[QueuedStatement],
-    now: Moment,
-    expected: Duration,
-) -> Option<usize> {
+pub fn next_in_queue(queue: &[QueuedStatement], now: Moment, expected: Duration) -> Option<usize> {
     let in_time = queue.iter().enumerate().filter(|(_, s)| s.is_in_time(now, expected));
     let urgent = in_time.clone().map(|(_, s)| s.priority).min();
     let Some(priority) = urgent else {
--- a/crates/decisions/src/instances/instance_record.rs
+++ b/crates/decisions/src/instances/instance_record.rs
@@ -4,8 +4,7 @@
 
 /// One start of a database: a database that starts again under its id is
 /// another one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceKey {
     /// Id that the database gave itself.
     pub id: Arc<str>,
@@ -20,8 +19,7 @@
 }
 
 /// How a database sees itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum InstanceRole {
     /// It accepts writes.
     Primary,
@@ -30,8 +28,7 @@
 }
 
 /// What a database last said of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceRecord {
     /// Which start of which database.
     pub key: InstanceKey,
@@ -66,8 +63,7 @@
 }
 
 /// A database that said it is gone.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceDeparture {
     /// Id of the database.
     pub id: Arc<str>,
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -5,8 +5,7 @@
 use crate::instances::InstanceKey;
 
 /// Where a service stands between two primaries.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TermPhase {
     /// The primary serves.
     Steady,
@@ -24,8 +23,7 @@
 
 /// The committed primary of a service. The number is control's own count of
 /// changes, not the database's.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceTerm {
     /// The service.
     pub service: Arc<str>,
@@ -47,7 +45,8 @@
 
     /// True if answers of requests sent in this term may still be given.
     pub fn accepts_answers(&self, number: u64) -> bool {
-        let serving = matches!(self.phase, TermPhase::Steady | TermPhase::Fencing { planned: true });
+        let serving =
+            matches!(self.phase, TermPhase::Steady | TermPhase::Fencing { planned: true });
         self.number == number && serving
     }
 }
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -187,7 +187,7 @@
             (true, None) => false,
             (true, Some(goal)) => {
                 self.best(term, &candidates).is_some_and(|(_, s)| s.received >= goal)
-            },
+            }
             (false, _) if sync_replicas > 0 => enough,
             (false, _) => all_answered || waited >= STATUS_WAIT,
         };
@@ -234,10 +234,8 @@
     ) -> Vec<TermStep> {
         let record = directory.get(&chosen.id);
         let says_so = record.is_some_and(|r| r.role == InstanceRole::Primary && r.key == *chosen);
-        let answers_so = self
-            .statuses
-            .get(chosen)
-            .is_some_and(|status| status.role == InstanceRole::Primary);
+        let answers_so =
+            self.statuses.get(chosen).is_some_and(|status| status.role == InstanceRole::Primary);
         if says_so || answers_so {
             self.proposed = true;
             return vec![TermStep::Start];
--- a/crates/decisions/src/routes/route_rule.rs
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -3,8 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Consistency that the requests of a route are owed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Every statement runs at the primary.
     Primary,
@@ -21,8 +20,7 @@
 }
 
 /// How the requests for one database name are served.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route.
     pub name: Arc<str>,
@@ -43,8 +41,7 @@
 }
 
 /// What operators say of one service.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Name of the service.
     pub name: Arc<str>,
@@ -55,8 +52,7 @@
 }
 
 /// Limits that hold for all callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrafficLimits {
     /// Time after which a transaction without a statement may be ended.
     pub transaction_idle: Duration,
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -34,8 +34,7 @@
 
 /// A whole configuration under the operator's own version; the highest version
 /// is in force.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// The operator's version.
     pub version: u64,
--- /dev/null
+++ b/crates/decisions/tests/instance_directory.rs
@@ -0,0 +1,101 @@
+//! Announcements that come late, twice, out of order and through many hosts.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornstack_decisions::{
+    clock::Moment,
+    instances::{
+        DirectoryChange, InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord,
+        InstanceRole,
+    },
+};
+use proptest::prelude::*;
+
+const NOW: Moment = Moment::from_millis(1_000);
+
+fn record(id: &str, born_ms: u64, sequence: u64, port: u16) -> InstanceRecord {
+    InstanceRecord {
+        key: InstanceKey { id: Arc::from(id), born_ms },
+        sequence,
+        service: Arc::from("books"),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: Arc::from("a"),
+        slots: 2,
+        draining: false,
+        role: InstanceRole::Replica,
+        warm_up: Duration::ZERO,
+    }
+}
+
+#[test]
+fn later_start_wins_over_higher_count() {
+    let mut directory = InstanceDirectory::default();
+    assert_eq!(directory.announce(NOW, &record("a", 1, 90, 80)), DirectoryChange::Changed);
+    assert_eq!(directory.announce(NOW, &record("a", 2, 1, 80)), DirectoryChange::Changed);
+    assert_eq!(directory.announce(NOW, &record("a", 1, 91, 80)), DirectoryChange::Stale);
+    assert_eq!(directory.get("a").map(|record| record.key.born_ms), Some(2));
+}
+
+#[test]
+fn repeated_announcement_only_refreshes() {
+    let mut directory = InstanceDirectory::default();
+    directory.announce(NOW, &record("a", 1, 1, 80));
+    assert_eq!(directory.announce(NOW, &record("a", 1, 2, 80)), DirectoryChange::Refreshed);
+    assert_eq!(directory.announce(NOW, &record("a", 1, 2, 80)), DirectoryChange::Stale);
+    let draining = InstanceRecord { draining: true, ..record("a", 1, 3, 80) };
+    assert_eq!(directory.announce(NOW, &draining), DirectoryChange::Changed);
+}
+
+#[test]
+fn address_belongs_to_the_last_start() {
+    let mut directory = InstanceDirectory::default();
+    directory.announce(NOW, &record("old", 1, 5, 80));
+    directory.announce(NOW, &record("new", 2, 1, 80));
+    // Delayed from before the crash of `old`.
+    assert_eq!(directory.announce(NOW, &record("old", 1, 6, 80)), DirectoryChange::Stale);
+    assert!(directory.get("old").is_none());
+    assert!(directory.get("new").is_some());
+}
+
+#[test]
+fn departed_start_does_not_come_back() {
+    let mut directory = InstanceDirectory::default();
+    directory.announce(NOW, &record("a", 1, 1, 80));
+    assert!(directory.depart(&InstanceDeparture { id: Arc::from("a"), born_ms: None }));
+    assert_eq!(directory.announce(NOW, &record("a", 1, 2, 80)), DirectoryChange::Stale);
+    assert_eq!(directory.announce(NOW, &record("a", 2, 1, 80)), DirectoryChange::Changed);
+}
+
+#[test]
+fn silent_database_may_announce_itself_again() {
+    let mut directory = InstanceDirectory::default();
+    directory.announce(NOW, &record("a", 1, 1, 80));
+    let later = NOW + Duration::from_secs(20);
+    assert_eq!(directory.expire(later, Duration::from_secs(12)).len(), 1);
+    assert_eq!(directory.announce(later, &record("a", 1, 2, 80)), DirectoryChange::Changed);
+}
+
+proptest! {
+    #[test]
+    fn order_of_arrival_does_not_matter(
+        announcements in prop::collection::vec((1u64..4, 1u64..6), 1..12),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let records: Vec<InstanceRecord> = announcements
+            .iter()
+            .map(|(born, sequence)| record("a", *born, *sequence, 80))
+            .collect();
+        let mut rotated = records.clone();
+        rotated.rotate_left(order.index(records.len()));
+        let newest = |records: &[InstanceRecord]| {
+            let mut directory = InstanceDirectory::default();
+            for record in records {
+                directory.announce(NOW, record);
+            }
+            directory.get("a").map(|record| (record.key.born_ms, record.sequence))
+        };
+        let expected = announcements.iter().max().copied();
+        prop_assert_eq!(newest(&records), expected);
+        prop_assert_eq!(newest(&rotated), expected);
+    }
+}
