--- a/crates/cli/src/commands/arguments.rs
+++ b/crates/cli/src/commands/arguments.rs
@@ -27,6 +27,7 @@
     Hosts(HostsCommand),
     Audit(AuditCommand),
     Explain(ExplainCommand),
+    TraceRequest(TraceRequestCommand),
 }
 
 /// Turn an intent into a plan to read.
@@ -142,6 +143,19 @@
     pub(super) code: u16,
 }
 
+/// Follow a request through the logs of many hosts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trace-request")]
+pub(super) struct TraceRequestCommand {
+    /// id of the request
+    #[argh(positional)]
+    pub(super) id: String,
+    /// log files (JSON lines); a file without host names is one host's, named
+    /// like it
+    #[argh(positional)]
+    pub(super) files: Vec<PathBuf>,
+}
+
 fn read_text(text: &str) -> Result<Arc<str>, String> {
     Ok(Arc::from(text))
 }
--- a/crates/cli/src/commands/execution.rs
+++ b/crates/cli/src/commands/execution.rs
@@ -12,8 +12,9 @@
 
 use super::{
     CliArguments,
-    arguments::{CliCommand, ConfirmCommand, PlanIntent},
+    arguments::{CliCommand, ConfirmCommand, PlanIntent, TraceRequestCommand},
     pages,
+    request_timeline::RequestTimeline,
 };
 use crate::console::{ConsoleError, DaemonClient, FileSnafu, RefusedSnafu, UnknownCodeSnafu};
 
@@ -46,9 +47,19 @@
         CliCommand::Hosts(_) => status(&client, pages::hosts, false, json),
         CliCommand::Audit(_) => audit(&client, json),
         CliCommand::Explain(command) => explain(command.code),
+        CliCommand::TraceRequest(command) => trace_request(command, json),
     }
 }
 
+fn trace_request(command: &TraceRequestCommand, json: bool) -> Result<(), ConsoleError> {
+    let timeline = RequestTimeline::read(command)?;
+    match json {
+        true => print_json(&timeline),
+        false => print!("{}", timeline.text()),
+    }
+    Ok(())
+}
+
 fn print_json(value: &impl serde::Serialize) {
     match serde_json::to_string(value) {
         Ok(text) => println!("{text}"),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod execution;
 mod pages;
+mod request_timeline;
 
 pub use arguments::CliArguments;
 pub use execution::run;
--- /dev/null
+++ b/crates/cli/src/commands/request_timeline.rs
@@ -0,0 +1,116 @@
+use std::{collections::BTreeSet, fs::File, io::BufRead, io::BufReader, path::Path};
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::arguments::TraceRequestCommand;
+use crate::console::{ConsoleError, FileSnafu};
+
+/// Fields that every line has; the others tell what was decided by what.
+const COMMON_FIELDS: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
+
+/// One line of a host's log.
+#[derive(Debug, Clone, Serialize)]
+struct TimelineLine {
+    time: String,
+    host: String,
+    part: String,
+    message: String,
+    /// It names the request.
+    is_request: bool,
+    fields: Map<String, Value>,
+}
+
+/// The lines about one request over many hosts' logs, in order of time, with
+/// what the same hosts came to believe meanwhile.
+#[derive(Debug, Serialize)]
+pub(super) struct RequestTimeline {
+    request: String,
+    lines: Vec<TimelineLine>,
+}
+
+impl RequestTimeline {
+    /// Reads the files.
+    ///
+    /// # Errors
+    /// `ConsoleError::File` if one cannot be read or no line names the request.
+    pub(super) fn read(command: &TraceRequestCommand) -> Result<Self, ConsoleError> {
+        let mut lines = Vec::new();
+        for path in &command.files {
+            read_lines(path, &command.id, &mut lines)?;
+        }
+        lines.sort_by(|a: &TimelineLine, b| a.time.cmp(&b.time));
+        let own: Vec<&TimelineLine> = lines.iter().filter(|line| line.is_request).collect();
+        let (Some(first), Some(last)) = (own.first(), own.last()) else {
+            let reason = format!("no line names the request {}", command.id);
+            let path = command.files.first().map_or(Path::new("-"), |path| path);
+            return FileSnafu { path, reason }.fail();
+        };
+        let hosts: BTreeSet<&str> = own.iter().map(|line| &*line.host).collect();
+        let span = first.time.clone()..=last.time.clone();
+        let kept = lines
+            .iter()
+            .filter(|line| {
+                line.is_request || {
+                    // Control hosts decide for all; entry hosts for themselves.
+                    let concerned = line.part == "control" || hosts.contains(&*line.host);
+                    concerned && span.contains(&line.time)
+                }
+            })
+            .cloned()
+            .collect();
+        Ok(Self { request: command.id.clone(), lines: kept })
+    }
+
+    /// The timeline as text, one decision a line.
+    pub(super) fn text(&self) -> String {
+        let mut text = format!("request {}\n", self.request);
+        for line in &self.lines {
+            let mark = if line.is_request { "*" } else { " " };
+            let fields: Vec<String> = line
+                .fields
+                .iter()
+                .filter(|(_, value)| value.as_str() != Some(""))
+                .map(|(name, value)| match value {
+                    Value::String(value) => format!("{name}={value}"),
+                    value => format!("{name}={value}"),
+                })
+                .collect();
+            let (time, host, part, message) = (&line.time, &line.host, &line.part, &line.message);
+            let fields = fields.join(" ");
+            text.push_str(&format!("{mark} {time} {host} [{part}] {message}: {fields}\n"));
+        }
+        text
+    }
+}
+
+fn read_lines(path: &Path, id: &str, lines: &mut Vec<TimelineLine>) -> Result<(), ConsoleError> {
+    let refuse = |reason: String| FileSnafu { path, reason }.build();
+    let file = File::open(path).map_err(|error| refuse(error.to_string()))?;
+    let file_host = path.file_stem().map_or_else(String::new, |s| s.to_string_lossy().into_owned());
+    for line in BufReader::new(file).lines() {
+        let line = line.map_err(|error| refuse(error.to_string()))?;
+        lines.extend(read_line(&line, id, &file_host));
+    }
+    Ok(())
+}
+
+/// Reads a line; a collector may have put the host's name before it. Lines of
+/// other requests and lines that are no JSON are left out.
+fn read_line(line: &str, id: &str, file_host: &str) -> Option<TimelineLine> {
+    let start = line.find('{')?;
+    let mut fields: Map<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    let host = line[..start].split_whitespace().next_back().unwrap_or(file_host).to_owned();
+    let mut take = |name: &str| match fields.remove(name) {
+        Some(Value::String(text)) => text,
+        _ => String::new(),
+    };
+    let (time, part, message, request) =
+        (take("timestamp"), take("target"), take("message"), take("request"));
+    let is_request = request == id;
+    if !is_request && !request.is_empty() {
+        return None;
+    }
+    fields.retain(|name, _| !COMMON_FIELDS.contains(&name.as_str()));
+    Some(TimelineLine { time, host, part, message, is_request, fields })
+}
--- a/crates/daemon/src/control/control_service.rs
+++ b/crates/daemon/src/control/control_service.rs
@@ -30,6 +30,7 @@
     edges::{PromotionEdge, PromotionOrder, UpstreamProtocol},
     kernel::KernelError,
     links::{bind_listener, host_address},
+    metrics::HostMetrics,
 };
 
 /// What a control host is told at its start.
@@ -97,6 +98,7 @@
     options: ControlOptions,
     upstreams: Rc<dyn UpstreamProtocol>,
     promotions: Rc<dyn PromotionEdge>,
+    metrics: HostMetrics,
 ) -> Result<ControlHandle, KernelError> {
     let (persisted, journal_events) = mpsc::unbounded_channel();
     let (journal, records) = JournalThread::open(&options.data_folder, persisted)?;
@@ -110,6 +112,8 @@
     let host = ControlHost::new(options.decisions.clone(), records, clock.now());
     let connected = Rc::new(Cell::new(false));
     let service = ControlService {
+        metrics,
+        measured: [f64::NAN; CONTROL_GAUGES.len()],
         connected: connected.clone(),
         clock,
         host,
@@ -127,7 +131,19 @@
     Ok(ControlHandle { events, connected })
 }
 
+/// Gauges of a control host, in the order in which they are measured.
+const CONTROL_GAUGES: [&str; 6] = [
+    "hawthornstack_control_leader",
+    "hawthornstack_control_term",
+    "hawthornstack_control_voters",
+    "hawthornstack_control_entry_hosts",
+    "hawthornstack_routes_version",
+    "hawthornstack_applied_index",
+];
+
 struct ControlService {
+    metrics: HostMetrics,
+    measured: [f64; CONTROL_GAUGES.len()],
     connected: Rc<Cell<bool>>,
     options: ControlOptions,
     clock: BootClock,
@@ -204,6 +220,26 @@
             false => agreement.leader().is_some(),
         };
         self.connected.set(connected);
+        self.measure();
+    }
+
+    /// Sets the gauges where they changed.
+    fn measure(&mut self) {
+        let agreement = self.host.agreement();
+        let values = [
+            f64::from(u8::from(agreement.is_leader())),
+            agreement.term() as f64,
+            agreement.voters().len() as f64,
+            self.host.control().holders.len() as f64,
+            self.host.control().routes_version() as f64,
+            self.host.control().applied as f64,
+        ];
+        if values != self.measured {
+            for (name, value) in CONTROL_GAUGES.into_iter().zip(values) {
+                self.metrics.set(name, value, &[]);
+            }
+            self.measured = values;
+        }
     }
 
     fn carry_out(&mut self, effect: ControlEffect) {
--- a/crates/daemon/src/edges/caller_protocol.rs
+++ b/crates/daemon/src/edges/caller_protocol.rs
@@ -48,6 +48,23 @@
     },
 }
 
+impl StatementAction {
+    /// The action's name in logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Begin { .. } => "begin",
+            Self::Commit => "commit",
+            Self::Rollback => "rollback",
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Execute { .. } => "execute",
+            Self::SetValue { .. } => "set",
+            Self::Prepare { .. } => "prepare",
+            Self::Deallocate { .. } => "deallocate",
+        }
+    }
+}
+
 /// One statement of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerStatement {
@@ -111,6 +128,21 @@
     UnknownStatement,
 }
 
+impl CallerRefusal {
+    /// The refusal's name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not run",
+            Self::Aborted => "aborted",
+            Self::InDoubt => "in doubt",
+            Self::TimedOut => "timed out",
+            Self::UnknownDatabase => "unknown database",
+            Self::Malformed => "malformed",
+            Self::UnknownStatement => "unknown statement",
+        }
+    }
+}
+
 /// The protocol that callers speak: one message a line, answered in order.
 pub trait CallerProtocol {
     /// Reads one message.
--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -88,6 +88,21 @@
     Other,
 }
 
+impl UpstreamCode {
+    /// The code's name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::UnknownStatement => "unknown statement",
+            Self::Lagging => "lagging",
+            Self::ReadOnly => "read only",
+            Self::Misrouted => "misrouted",
+            Self::ConnectionLimit => "connection limit",
+            Self::Other => "refused by the database",
+        }
+    }
+}
+
 /// One message of a database.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamReply {
--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -11,6 +11,7 @@
 
 use super::{
     entry_shared::EntryShared,
+    request_trace::{RequestTrace, TraceEnd, TraceStep},
     statement_run::{
         NoPlace, RunLimits, RunPlace, encode_statement, find_place, pause_busy, run_at,
     },
@@ -32,7 +33,12 @@
     /// The statement needed no database.
     Done,
     /// A database's answer, as it came.
-    Relayed(Vec<u8>),
+    Relayed {
+        /// Rows, result and refusal.
+        body: Vec<u8>,
+        /// It is a result, not a refusal.
+        served: bool,
+    },
     /// No result.
     Refused(CallerRefusal, &'static str),
 }
@@ -142,11 +148,53 @@
     }
 
     async fn run_at_database(&mut self, statement: &CallerStatement) -> CallerReply {
+        let mut trace = RequestTrace::new(&statement.id, self.shared.now());
         let route = self.shared.view.borrow().route(&self.database);
+        let reply = self.run_traced(statement, route.as_deref(), &mut trace).await;
+        self.finish_trace(trace, statement, route.as_deref(), &reply);
+        reply
+    }
+
+    fn finish_trace(
+        &self,
+        trace: RequestTrace,
+        statement: &CallerStatement,
+        route: Option<&RouteRule>,
+        reply: &CallerReply,
+    ) {
+        let (outcome, hint) = match reply {
+            CallerReply::Done | CallerReply::Relayed { served: true, .. } => ("served", ""),
+            CallerReply::Relayed { .. } => ("refused by the database", ""),
+            CallerReply::Refused(refusal, hint) => {
+                self.shared.metrics.count_refusal(refusal.name());
+                (refusal.name(), *hint)
+            }
+        };
+        let now = self.shared.now();
+        let view = self.shared.view.borrow();
+        let end = TraceEnd {
+            database: &self.database,
+            route_kind: route.map_or("none", |route| route.kind.name()),
+            action: statement.action.name(),
+            outcome,
+            hint,
+            objective: route.map_or(Duration::ZERO, |route| route.objective),
+            routes_version: view.routes_version(),
+            lease_ms: view.lease_left(now).as_millis() as u64,
+        };
+        trace.finish(now, end, &self.shared.traces, &self.shared.metrics);
+    }
+
+    async fn run_traced(
+        &mut self,
+        statement: &CallerStatement,
+        route: Option<&RouteRule>,
+        trace: &mut RequestTrace,
+    ) -> CallerReply {
         if let Some(place) = self.pinned.take() {
-            let timeout = route.as_ref().map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
+            let timeout = route.map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
             let deadline = Instant::now() + timeout;
-            return self.run_pinned(place, statement, deadline).await;
+            return self.run_pinned(place, statement, deadline, trace).await;
         }
         let Some(route) = route else {
             self.state.transaction = TransactionPhase::Idle;
@@ -156,9 +204,9 @@
         let arrived = self.opened.take().unwrap_or_else(|| self.shared.now());
         match self.state.transaction {
             TransactionPhase::Begun { read_only } => {
-                self.run_first(&route, statement, read_only, arrived, deadline).await
+                self.run_first(route, statement, read_only, arrived, deadline, trace).await
             }
-            _ => self.run_single(&route, statement, arrived, deadline).await,
+            _ => self.run_single(route, statement, arrived, deadline, trace).await,
         }
     }
 
@@ -179,11 +227,10 @@
         statement: &CallerStatement,
         arrived: Moment,
         deadline: Instant,
+        trace: &mut RequestTrace,
     ) -> CallerReply {
         let writes = self.writes(statement);
-        let request = String::from_utf8_lossy(&statement.id);
         let limits = RunLimits {
-            request: &request,
             route,
             arrived,
             deadline,
@@ -194,15 +241,15 @@
         };
         let mut tried = Vec::new();
         loop {
-            let place = match find_place(&self.shared, &limits, &mut tried).await {
+            let place = match find_place(&self.shared, &limits, &mut tried, trace).await {
                 Ok(place) => place,
-                Err(no_place) => return refuse_no_place(&statement.id, no_place),
+                Err(no_place) => return refuse_no_place(no_place),
             };
-            let end = self.try_single(place, statement, &limits, &mut tried).await;
+            let end = self.try_single(place, statement, &limits, &mut tried, trace).await;
             match end {
                 AttemptEnd::Reply(reply) => return reply,
                 AttemptEnd::Again if Instant::now() >= deadline => {
-                    return refuse(&statement.id, CallerRefusal::NotRun, "no database had room");
+                    return refuse(CallerRefusal::NotRun, "no database had room");
                 }
                 AttemptEnd::Again => {}
             }
@@ -215,6 +262,7 @@
         statement: &CallerStatement,
         limits: &RunLimits<'_>,
         tried: &mut Vec<InstanceKey>,
+        trace: &mut RequestTrace,
     ) -> AttemptEnd {
         let mut out = Vec::with_capacity(statement.text.len() + 64);
         let after = place.after;
@@ -224,7 +272,7 @@
         let restoring =
             encode_statement(&self.shared, link, &self.state, statement, after, &mut out);
         let until = attempt_deadline(limits, tried);
-        let result = run_at(&self.shared, &mut place, &out, restoring, until).await;
+        let result = run_at(&self.shared, &mut place, &out, restoring, until, trace).await;
         let key = place.link.record().key.clone();
         let answer = match result {
             Ok(answer) => answer,
@@ -234,20 +282,21 @@
                     LinkError::TimedOut => "the database did not answer in time",
                     LinkError::TermChanged => "the primary was replaced",
                 };
-                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+                return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
             }
             Err(LinkError::TimedOut) if Instant::now() >= limits.deadline => {
                 let hint = "the database did not answer in time";
-                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::TimedOut, hint));
+                return AttemptEnd::Reply(refuse(CallerRefusal::TimedOut, hint));
             }
             Err(_) => {
                 tried.push(key);
+                trace.note(self.shared.now(), TraceStep::Retried { reason: "no answer" });
                 return AttemptEnd::Again;
             }
         };
         if answer.phase != SessionPhase::Idle {
             let hint = "the database's connection is in an unknown state";
-            return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+            return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
         }
         let retry = self.should_retry(&place, &answer, tried, limits.deadline);
         let (number, service) = (place.number, place.service.clone());
@@ -256,12 +305,13 @@
             _ => place.link.release(),
         }
         if retry.await {
+            trace.note(self.shared.now(), TraceStep::Retried { reason: retry_reason(answer.end) });
             return AttemptEnd::Again;
         }
         if limits.writes && answer.end == AnswerEnd::Done {
             if !self.accepts(&service, number) {
                 let hint = "the primary was replaced before it answered";
-                return AttemptEnd::Reply(refuse(&statement.id, CallerRefusal::InDoubt, hint));
+                return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
             }
             self.state.committed(answer.position);
         }
@@ -276,10 +326,9 @@
         read_only: bool,
         arrived: Moment,
         deadline: Instant,
+        trace: &mut RequestTrace,
     ) -> CallerReply {
-        let request = String::from_utf8_lossy(&statement.id);
         let limits = RunLimits {
-            request: &request,
             route,
             arrived,
             deadline,
@@ -290,21 +339,22 @@
         };
         let mut tried = Vec::new();
         while Instant::now() < deadline {
-            let place = match find_place(&self.shared, &limits, &mut tried).await {
+            let place = match find_place(&self.shared, &limits, &mut tried, trace).await {
                 Ok(place) => place,
                 Err(no_place) => {
                     self.state.transaction = TransactionPhase::Failed;
-                    return refuse_no_place(&statement.id, no_place);
+                    return refuse_no_place(no_place);
                 }
             };
-            if let Some(place) = self.begin_at(place, read_only, &mut tried, deadline).await {
+            if let Some(place) = self.begin_at(place, read_only, &mut tried, deadline, trace).await
+            {
                 self.state.transaction = TransactionPhase::Pinned { read_only };
                 self.wrote = false;
-                return self.run_pinned(place, statement, deadline).await;
+                return self.run_pinned(place, statement, deadline, trace).await;
             }
         }
         self.state.transaction = TransactionPhase::Failed;
-        refuse(&statement.id, CallerRefusal::NotRun, "no database had room")
+        refuse(CallerRefusal::NotRun, "no database had room")
     }
 
     /// Begins the transaction at a database; `None` if it did not take it.
@@ -314,6 +364,7 @@
         read_only: bool,
         tried: &mut Vec<InstanceKey>,
         deadline: Instant,
+        trace: &mut RequestTrace,
     ) -> Option<RunPlace> {
         let mut out = Vec::new();
         let steps = place.link.link()?.state.restore_values(&self.state);
@@ -322,12 +373,16 @@
         let after = place.after;
         protocol.encode_command(&mut out, UpstreamCommand::Begin { read_only, after });
         let key = place.link.record().key.clone();
-        match run_at(&self.shared, &mut place, &out, steps.len(), deadline).await {
+        match run_at(&self.shared, &mut place, &out, steps.len(), deadline, trace).await {
             Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(place),
             Ok(answer) if answer.phase == SessionPhase::Idle => {
                 let retry = self.should_retry(&place, &answer, tried, deadline);
                 place.link.release();
                 retry.await;
+                trace.note(
+                    self.shared.now(),
+                    TraceStep::Retried { reason: retry_reason(answer.end) },
+                );
                 None
             }
             _ => {
@@ -345,30 +400,32 @@
         mut place: RunPlace,
         statement: &CallerStatement,
         deadline: Instant,
+        trace: &mut RequestTrace,
     ) -> CallerReply {
         let commits = statement.action == StatementAction::Commit;
         let writes = self.writes(statement);
         loop {
             let mut out = Vec::with_capacity(statement.text.len() + 64);
             let Some(link) = place.link.link() else {
-                return self.abort(&statement.id, "the connection is gone");
+                return self.abort("the connection is gone");
             };
             let restoring =
                 encode_statement(&self.shared, link, &self.state, statement, None, &mut out);
-            let answer = match run_at(&self.shared, &mut place, &out, restoring, deadline).await {
-                Ok(answer) => answer,
-                Err(_) if commits && self.wrote => {
-                    self.state.transaction = TransactionPhase::Idle;
-                    let hint = "the commit was not answered";
-                    return refuse(&statement.id, CallerRefusal::InDoubt, hint);
-                }
-                Err(_) if commits => {
-                    self.state.transaction = TransactionPhase::Idle;
-                    let hint = "the transaction, which wrote nothing, was not committed";
-                    return refuse(&statement.id, CallerRefusal::Aborted, hint);
-                }
-                Err(_) => return self.abort(&statement.id, "the transaction's connection is lost"),
-            };
+            let answer =
+                match run_at(&self.shared, &mut place, &out, restoring, deadline, trace).await {
+                    Ok(answer) => answer,
+                    Err(_) if commits && self.wrote => {
+                        self.state.transaction = TransactionPhase::Idle;
+                        let hint = "the commit was not answered";
+                        return refuse(CallerRefusal::InDoubt, hint);
+                    }
+                    Err(_) if commits => {
+                        self.state.transaction = TransactionPhase::Idle;
+                        let hint = "the transaction, which wrote nothing, was not committed";
+                        return refuse(CallerRefusal::Aborted, hint);
+                    }
+                    Err(_) => return self.abort("the transaction's connection is lost"),
+                };
             let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
             if busy
                 && answer.phase == SessionPhase::InTransaction
@@ -407,7 +464,7 @@
                 if committed && self.wrote {
                     if !self.accepts(&service, number) {
                         let hint = "the primary was replaced before it answered";
-                        return refuse(&statement.id, CallerRefusal::InDoubt, hint);
+                        return refuse(CallerRefusal::InDoubt, hint);
                     }
                     self.state.committed(answer.position);
                 }
@@ -449,12 +506,12 @@
 
     fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
         self.position = answer.position;
-        CallerReply::Relayed(answer.body)
+        CallerReply::Relayed { served: answer.end == AnswerEnd::Done, body: answer.body }
     }
 
-    fn abort(&mut self, id: &[u8], hint: &'static str) -> CallerReply {
+    fn abort(&mut self, hint: &'static str) -> CallerReply {
         self.state.transaction = TransactionPhase::Failed;
-        refuse(id, CallerRefusal::Aborted, hint)
+        refuse(CallerRefusal::Aborted, hint)
     }
 
     /// Ends a transaction that waited too long for its next statement.
@@ -482,7 +539,8 @@
             let mut out = Vec::new();
             shared.upstreams.encode_command(&mut out, UpstreamCommand::Rollback);
             let deadline = Instant::now() + ROLLBACK_TIMEOUT;
-            let answer = run_at(&shared, &mut place, &out, 0, deadline).await;
+            let mut trace = RequestTrace::new(b"-", shared.now());
+            let answer = run_at(&shared, &mut place, &out, 0, deadline, &mut trace).await;
             if answer.is_ok_and(|answer| answer.phase == SessionPhase::Idle) {
                 place.link.release();
             }
@@ -496,6 +554,13 @@
     }
 }
 
+fn retry_reason(end: AnswerEnd) -> &'static str {
+    match end {
+        AnswerEnd::Refused(code) => code.name(),
+        AnswerEnd::Done => "begun nowhere",
+    }
+}
+
 /// Until when one attempt may take; a first read leaves time for a second.
 fn attempt_deadline(limits: &RunLimits<'_>, tried: &[InstanceKey]) -> Instant {
     if limits.writes || !tried.is_empty() {
@@ -509,16 +574,14 @@
     CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
 }
 
-fn refuse_no_place(id: &[u8], no_place: NoPlace) -> CallerReply {
+fn refuse_no_place(no_place: NoPlace) -> CallerReply {
     let hint = match no_place {
         NoPlace::NoConnection => "no connection to the database was free; try again at once",
         NoPlace::NoPrimary => "the primary is being replaced; try again in 500 ms",
     };
-    refuse(id, CallerRefusal::NotRun, hint)
+    refuse(CallerRefusal::NotRun, hint)
 }
 
-fn refuse(id: &[u8], refusal: CallerRefusal, hint: &'static str) -> CallerReply {
-    let request = String::from_utf8_lossy(id);
-    tracing::info!(target: "entry", %request, ?refusal, hint, "refused");
+fn refuse(refusal: CallerRefusal, hint: &'static str) -> CallerReply {
     CallerReply::Refused(refusal, hint)
 }
--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -73,6 +73,7 @@
                     renew_at = Instant::now() + RENEW_INTERVAL;
                     links.renew_all();
                     links.shared.tend_pools();
+                    links.shared.measure();
                 }
             }
         }
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -5,6 +5,7 @@
     instances::InstanceRecord,
     positions::LogPosition,
 };
+use opentelemetry::KeyValue;
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep_until, timeout_at},
@@ -14,7 +15,7 @@
     entry_shared::EntryShared,
     upstream_link::{OpenError, UpstreamLink},
 };
-use crate::clock::BootClock;
+use crate::{clock::BootClock, metrics::HostMetrics};
 
 /// Idle time after which a connection beyond the host's share is closed, so
 /// that another host may open one.
@@ -154,6 +155,22 @@
         );
     }
 
+    /// Sets the gauges of this database.
+    pub(super) fn measure(&self, metrics: &HostMetrics) {
+        let state = self.state.borrow();
+        let name = KeyValue::new("database", self.record.key.id.to_string());
+        let counts = [
+            ("idle", state.idle.len()),
+            ("running", state.running),
+            ("pinned", state.open.saturating_sub(state.idle.len() + state.running)),
+        ];
+        for (label, count) in counts {
+            let labels = [name.clone(), KeyValue::new("state", label)];
+            metrics.set("hawthornstack_upstream_connections", count as f64, &labels);
+        }
+        metrics.set("hawthornstack_queued_statements", state.waiters.len() as f64, &[name]);
+    }
+
     /// The database answered a statement, or had no room for it.
     pub(super) fn note_answer(&self, refused: bool) {
         let mut state = self.state.borrow_mut();
--- a/crates/daemon/src/entry/entry_host.rs
+++ b/crates/daemon/src/entry/entry_host.rs
@@ -16,6 +16,7 @@
 use crate::{
     edges::{CallerProtocol, UpstreamProtocol},
     links::bind_listener,
+    metrics::HostMetrics,
 };
 
 /// Time after which no new callers come to a host that says it is not ready:
@@ -42,11 +43,13 @@
         settings: EntrySettings,
         callers: Box<dyn CallerProtocol>,
         upstreams: Box<dyn UpstreamProtocol>,
+        metrics: HostMetrics,
     ) -> io::Result<Self> {
         let listener = bind_listener(settings.callers)?;
         let (reports, received) = mpsc::unbounded_channel();
         let cancel = CancellationToken::new();
-        let shared = Rc::new(EntryShared::new(settings, callers, upstreams, reports, cancel));
+        let shared =
+            Rc::new(EntryShared::new(settings, callers, upstreams, reports, metrics, cancel));
         let tasks = shared.tasks.clone();
         let links = ControlLinks::run(shared.clone(), received);
         let cancelled = shared.cancel.clone();
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -14,10 +14,11 @@
 use tokio::sync::{Notify, mpsc};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{EntrySettings, database_pool::DatabasePool};
+use super::{EntrySettings, database_pool::DatabasePool, request_trace::TraceBudget};
 use crate::{
     clock::BootClock,
     edges::{CallerProtocol, UpstreamProtocol},
+    metrics::HostMetrics,
 };
 
 /// Connections to a database that are left to control's questions.
@@ -59,6 +60,8 @@
     pub(super) probing: RefCell<BTreeSet<(Arc<str>, u64)>>,
     pub(super) cancel: CancellationToken,
     pub(super) tasks: TaskTracker,
+    pub(super) metrics: HostMetrics,
+    pub(super) traces: TraceBudget,
     pools: RefCell<HashMap<InstanceKey, Rc<DatabasePool>>>,
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
@@ -69,6 +72,7 @@
         callers: Box<dyn CallerProtocol>,
         upstreams: Box<dyn UpstreamProtocol>,
         reports: mpsc::UnboundedSender<EntryReport>,
+        metrics: HostMetrics,
         cancel: CancellationToken,
     ) -> Self {
         let view = RefCell::new(EntryView::new(settings.data_centre.clone()));
@@ -85,6 +89,8 @@
             probing: RefCell::new(BTreeSet::new()),
             cancel,
             tasks: TaskTracker::new(),
+            metrics,
+            traces: TraceBudget::default(),
             pools: RefCell::new(HashMap::new()),
             writes: RefCell::new(BTreeMap::new()),
         }
@@ -135,6 +141,21 @@
         }
     }
 
+    /// Sets the gauges.
+    pub(super) fn measure(&self) {
+        let now = self.now();
+        let view = self.view.borrow();
+        let metrics = &self.metrics;
+        metrics.set("hawthornstack_sessions", f64::from(self.sessions.get()), &[]);
+        let lease = view.lease_left(now).as_secs_f64();
+        metrics.set("hawthornstack_lease_seconds", lease, &[]);
+        metrics.set("hawthornstack_routes_version", view.routes_version() as f64, &[]);
+        metrics.set("hawthornstack_applied_index", view.applied() as f64, &[]);
+        for pool in self.pools.borrow().values() {
+            pool.measure(metrics);
+        }
+    }
+
     /// Counts a write or transaction that a planned change of primary waits
     /// for.
     pub(super) fn begin_write(self: &Rc<Self>, service: &Arc<str>, number: u64) -> WriteGuard {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod entry_settings;
 mod entry_shared;
 mod primary_probe;
+mod request_trace;
 mod session_task;
 mod statement_run;
 mod upstream_link;
--- /dev/null
+++ b/crates/daemon/src/entry/request_trace.rs
@@ -0,0 +1,217 @@
+use std::{cell::Cell, time::Duration};
+
+use hawthornstack_decisions::{clock::Moment, instances::InstanceKey, positions::LogPosition};
+
+use crate::metrics::HostMetrics;
+
+/// One of so many ordinary statements is written to the log in full.
+const SAMPLE_EVERY: u64 = 1_024;
+/// Lines about statements that a host writes in a second at most.
+const LINES_PER_SECOND: u32 = 200;
+
+/// One decision about a statement, with what it was decided by.
+#[derive(Debug, Clone)]
+pub(super) enum TraceStep {
+    /// A database was chosen.
+    Routed {
+        instance: InstanceKey,
+        /// The term, if it is the primary.
+        term: Option<u64>,
+        /// Position that it must hold.
+        after: Option<LogPosition>,
+        /// What this host expects an answer to take there, in milliseconds.
+        expected_ms: f64,
+    },
+    /// No primary may be used: no lease, or it is being replaced.
+    WaitedForPrimary { has_lease: bool, term: Option<u64> },
+    /// It waited for a connection.
+    Queued { waited: Duration, got: bool },
+    /// It was sent and answered, or not.
+    Sent { instance: InstanceKey, took: Duration, result: &'static str },
+    /// Another attempt follows.
+    Retried { reason: &'static str },
+}
+
+/// What is known of a statement when it ends.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TraceEnd<'a> {
+    pub(super) database: &'a str,
+    pub(super) route_kind: &'static str,
+    pub(super) action: &'static str,
+    pub(super) outcome: &'static str,
+    pub(super) hint: &'static str,
+    pub(super) objective: Duration,
+    pub(super) routes_version: u64,
+    pub(super) lease_ms: u64,
+}
+
+/// The decisions about one statement. They are written only if it failed, was
+/// retried or late, or is one of the samples, so that an ordinary statement
+/// costs a few words of memory.
+#[derive(Debug)]
+pub(super) struct RequestTrace {
+    pub(super) id: String,
+    began: Moment,
+    steps: Vec<(Moment, TraceStep)>,
+    retried: bool,
+    /// The last choice repeated the one before it.
+    looks_again: bool,
+}
+
+/// Bounds the lines about statements.
+#[derive(Debug, Default)]
+pub(super) struct TraceBudget {
+    second: Cell<u64>,
+    written: Cell<u32>,
+    left_out: Cell<u64>,
+    count: Cell<u64>,
+}
+
+impl TraceBudget {
+    /// True if so many more lines may be written; counts those that may not.
+    fn take(&self, now: Moment, lines: u32, metrics: &HostMetrics) -> bool {
+        let second = now.as_micros() / 1_000_000;
+        if second != self.second.replace(second) {
+            self.written.set(0);
+            let left_out = self.left_out.replace(0);
+            if left_out > 0 {
+                tracing::warn!(target: "log", kind = "request", left_out, "lines left out");
+            }
+        }
+        if self.written.get() + lines <= LINES_PER_SECOND {
+            self.written.set(self.written.get() + lines);
+            return true;
+        }
+        self.left_out.set(self.left_out.get() + u64::from(lines));
+        metrics.count_left_out("request", u64::from(lines));
+        false
+    }
+
+    fn is_sample(&self) -> bool {
+        self.count.set(self.count.get() + 1);
+        self.count.get().is_multiple_of(SAMPLE_EVERY)
+    }
+}
+
+impl RequestTrace {
+    pub(super) fn new(id: &[u8], began: Moment) -> Self {
+        let id = String::from_utf8_lossy(id).into_owned();
+        Self { id, began, steps: Vec::new(), retried: false, looks_again: false }
+    }
+
+    /// True if the last decision was to wait for a primary.
+    pub(super) fn waits_for_primary(&self) -> bool {
+        matches!(self.steps.last(), Some((_, TraceStep::WaitedForPrimary { .. })))
+    }
+
+    pub(super) fn note(&mut self, now: Moment, step: TraceStep) {
+        if self.extends_last(&step) {
+            return;
+        }
+        self.retried |= matches!(step, TraceStep::Retried { .. });
+        self.steps.push((now, step));
+    }
+
+    /// A read that looks again and chooses the same database goes on waiting.
+    fn extends_last(&mut self, step: &TraceStep) -> bool {
+        let [.., (_, TraceStep::Routed { instance: before, .. }), (_, last)] = &mut *self.steps
+        else {
+            return false;
+        };
+        let TraceStep::Queued { waited, got } = last else {
+            return false;
+        };
+        match step {
+            TraceStep::Routed { instance, .. } => {
+                let same = !*got && instance == before;
+                self.looks_again = same;
+                same
+            }
+            TraceStep::Queued { waited: more, got: now_got } if self.looks_again => {
+                *waited += *more;
+                *got = *now_got;
+                self.looks_again = false;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends the trace: counts the statement and writes it if it is worth it.
+    pub(super) fn finish(
+        self,
+        now: Moment,
+        end: TraceEnd<'_>,
+        budget: &TraceBudget,
+        metrics: &HostMetrics,
+    ) {
+        let took = now.since(self.began);
+        metrics.count_statement(end.route_kind, end.outcome, took.as_secs_f64());
+        for (_, step) in &self.steps {
+            match step {
+                TraceStep::Queued { waited, .. } => {
+                    metrics.record_stage("queue", waited.as_secs_f64());
+                }
+                TraceStep::Sent { took, .. } => {
+                    metrics.record_stage("database", took.as_secs_f64())
+                }
+                TraceStep::Retried { reason } => metrics.count_retry(reason),
+                TraceStep::Routed { .. } | TraceStep::WaitedForPrimary { .. } => {}
+            }
+        }
+        let is_ordinary = end.outcome == "served" && !self.retried && took <= end.objective;
+        if is_ordinary && !budget.is_sample() {
+            return;
+        }
+        if !budget.take(now, self.steps.len() as u32 + 1, metrics) {
+            return;
+        }
+        for (at, step) in &self.steps {
+            self.write_step(*at, step);
+        }
+        tracing::info!(
+            target: "request",
+            request = self.id,
+            at_ms = ms(took),
+            database = end.database,
+            kind = end.route_kind,
+            action = end.action,
+            outcome = end.outcome,
+            hint = end.hint,
+            routes_version = end.routes_version,
+            lease_ms = end.lease_ms,
+            "answered"
+        );
+    }
+
+    fn write_step(&self, at: Moment, step: &TraceStep) {
+        let request = &*self.id;
+        let at_ms = ms(at.since(self.began));
+        match step {
+            TraceStep::Routed { instance, term, after, expected_ms } => {
+                let after = after.map(|after| after.to_string()).unwrap_or_default();
+                tracing::info!(
+                    target: "request", request, at_ms, %instance, term, after, expected_ms, "routed"
+                );
+            }
+            TraceStep::WaitedForPrimary { has_lease, term } => {
+                tracing::info!(target: "request", request, at_ms, has_lease, term, "no primary");
+            }
+            TraceStep::Queued { waited, got } => {
+                let waited_ms = ms(*waited);
+                tracing::info!(target: "request", request, at_ms, waited_ms, got, "waited");
+            }
+            TraceStep::Sent { instance, took, result } => {
+                let took_ms = ms(*took);
+                tracing::info!(target: "request", request, at_ms, %instance, took_ms, result, "sent");
+            }
+            TraceStep::Retried { reason } => {
+                tracing::info!(target: "request", request, at_ms, reason, "retried");
+            }
+        }
+    }
+}
+
+fn ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 10_000.0).round() / 10.0
+}
--- a/crates/daemon/src/entry/session_task.rs
+++ b/crates/daemon/src/entry/session_task.rs
@@ -162,7 +162,7 @@
 ) {
     match reply {
         CallerReply::Done => shared.callers.encode_done(out),
-        CallerReply::Relayed(body) => out.extend_from_slice(&body),
+        CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
         CallerReply::Refused(refusal, hint) => shared.callers.encode_refusal(out, refusal, hint),
     }
     shared.callers.encode_ready(out, session.phase(), session.position);
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -13,6 +13,7 @@
     database_pool::{AcquireError, PooledLink},
     entry_shared::{EntryShared, WriteGuard},
     primary_probe::probe_primary,
+    request_trace::{RequestTrace, TraceStep},
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
 use crate::edges::{CallerStatement, StatementAction, UpstreamCode, UpstreamCommand};
@@ -50,8 +51,6 @@
 
 /// What a statement may use until when.
 pub(super) struct RunLimits<'a> {
-    /// Id of the statement, for the log.
-    pub(super) request: &'a str,
     pub(super) route: &'a RouteRule,
     /// Since when the caller has waited, as far as this host can tell.
     pub(super) arrived: Moment,
@@ -68,6 +67,7 @@
     shared: &Rc<EntryShared>,
     limits: &RunLimits<'_>,
     tried: &mut Vec<InstanceKey>,
+    trace: &mut RequestTrace,
 ) -> Result<RunPlace, NoPlace> {
     let service = &limits.route.service;
     let statement = QueuedStatement {
@@ -81,12 +81,16 @@
         let (record, number, after) = match choose(shared, now, limits, tried) {
             Some(choice) => choice,
             None => {
+                note_no_primary(shared, now, service, trace);
                 if timeout_at(limits.deadline, changed).await.is_err() {
                     return Err(NoPlace::NoPrimary);
                 }
                 continue;
             }
         };
+        let expected_ms = shared.view.borrow().loads.get(&record.key).expected_ms();
+        let instance = record.key.clone();
+        trace.note(now, TraceStep::Routed { instance, term: number, after, expected_ms });
         let pool = shared.pool(&record);
         let until = match limits.may_move {
             true => limits.deadline.min(Instant::now() + MOVE_AFTER),
@@ -95,6 +99,8 @@
         shared.view.borrow_mut().loads.started(&record.key);
         let acquired = pool.acquire(shared, statement, until).await;
         shared.view.borrow_mut().loads.finished(&record.key, None);
+        let (at, got) = (shared.now(), acquired.is_ok());
+        trace.note(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
             Err(AcquireError::OutOfTime) if Instant::now() < limits.deadline => continue,
             Ok(link) => {
@@ -117,7 +123,7 @@
                 });
             }
             Err(AcquireError::OutOfTime) => {
-                pool.log_exhausted(limits.request);
+                pool.log_exhausted(&trace.id);
                 return Err(NoPlace::NoConnection);
             }
             Err(AcquireError::Misrouted) => note_failure(shared, &record.key, None, service),
@@ -133,6 +139,16 @@
     }
 }
 
+/// Notes once in a row that no primary may be used.
+fn note_no_primary(shared: &EntryShared, now: Moment, service: &str, trace: &mut RequestTrace) {
+    if trace.waits_for_primary() {
+        return;
+    }
+    let view = shared.view.borrow();
+    let term = view.term(service).map(|term| term.number);
+    trace.note(now, TraceStep::WaitedForPrimary { has_lease: view.has_lease(now), term });
+}
+
 type DatabaseChoice = (InstanceRecord, Option<u64>, Option<LogPosition>);
 
 fn choose(
@@ -186,6 +202,7 @@
     out: &[u8],
     restoring: usize,
     deadline: Instant,
+    trace: &mut RequestTrace,
 ) -> Result<UpstreamAnswer, LinkError> {
     let key = place.link.record().key.clone();
     let (service, number) = (place.service.clone(), place.number);
@@ -197,6 +214,12 @@
     let exchange = link.exchange(&*shared.upstreams, out, restoring);
     let result = watch_exchange(shared, &service, number, deadline, exchange).await;
     let now = shared.now();
+    let sent = TraceStep::Sent {
+        instance: key.clone(),
+        took: now.since(sent_at),
+        result: result_name(&result),
+    };
+    trace.note(now, sent);
     if let Ok(answer) = &result {
         place.link.note_answer(answer.end == AnswerEnd::Refused(UpstreamCode::Busy));
     }
@@ -215,6 +238,18 @@
     result
 }
 
+fn result_name(result: &Result<UpstreamAnswer, LinkError>) -> &'static str {
+    match result {
+        Ok(answer) => match answer.end {
+            AnswerEnd::Done => "done",
+            AnswerEnd::Refused(code) => code.name(),
+        },
+        Err(LinkError::Broken) => "connection broken",
+        Err(LinkError::TimedOut) => "no answer in time",
+        Err(LinkError::TermChanged) => "primary replaced",
+    }
+}
+
 /// Waits for an answer; probes a primary that is slow to answer, and gives up
 /// on one that was replaced.
 async fn watch_exchange(
--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -23,6 +23,7 @@
 
 /// Why metrics cannot be had.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum MetricsError {
     /// The exporter refused.
     #[snafu(display("metrics cannot be exported: {source}"))]
--- /dev/null
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -0,0 +1,168 @@
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::ResultExt;
+
+use super::{MetricsError, daemon_metrics::ExportSnafu};
+
+/// Names of the metrics of entry and control hosts with their meaning and
+/// units, as `docs/METRICS.md` lists them.
+pub const HOST_METRIC_NAMES: [(&str, &str); 17] = [
+    ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
+    ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
+    ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
+    ("hawthornstack_retries", "attempts that were repeated, by reason"),
+    ("hawthornstack_refusals", "statements refused by this host, by reason"),
+    ("hawthornstack_reads", "reads sent to a database, by its role"),
+    ("hawthornstack_sessions", "callers' sessions that are open"),
+    ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
+    ("hawthornstack_queued_statements", "statements that wait for a connection, by database"),
+    ("hawthornstack_lease_seconds", "time that the lease still holds, seconds"),
+    ("hawthornstack_routes_version", "version of the configuration in force"),
+    ("hawthornstack_applied_index", "index of control's log that is applied"),
+    ("hawthornstack_log_lines_left_out", "log lines that were not written, by kind"),
+    ("hawthornstack_control_leader", "1 if this control host leads, else 0"),
+    ("hawthornstack_control_term", "term of control's agreement"),
+    ("hawthornstack_control_voters", "voters of control"),
+    ("hawthornstack_control_entry_hosts", "entry hosts that may hold a lease"),
+];
+
+/// Bounds of the histograms, in seconds: from a round trip within a data
+/// centre to the longest statement timeouts.
+const TIME_BOUNDS: [f64; 12] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0, 10.0];
+
+/// The instruments of an entry or control host.
+#[derive(Clone)]
+pub struct HostMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    statements: Counter<u64>,
+    statement_seconds: Histogram<f64>,
+    stage_seconds: Histogram<f64>,
+    retries: Counter<u64>,
+    refusals: Counter<u64>,
+    reads: Counter<u64>,
+    left_out: Counter<u64>,
+    gauges: Vec<(&'static str, Gauge<f64>)>,
+}
+
+impl std::fmt::Debug for HostMetrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HostMetrics").finish_non_exhaustive()
+    }
+}
+
+fn text_of(name: &str) -> &'static str {
+    HOST_METRIC_NAMES.iter().find(|(known, _)| *known == name).map_or("", |(_, text)| text)
+}
+
+fn counter(meter: &Meter, name: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text_of(name)).build()
+}
+
+fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(text_of(name))
+        .with_boundaries(TIME_BOUNDS.to_vec())
+        .build()
+}
+
+impl HostMetrics {
+    /// Builds the instruments and their registry.
+    ///
+    /// # Errors
+    /// `MetricsError` if the exporter cannot be built.
+    pub fn start() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .without_counter_suffixes()
+            .without_units()
+            .build()
+            .context(ExportSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hawthornstack");
+        let gauges = [
+            "hawthornstack_sessions",
+            "hawthornstack_upstream_connections",
+            "hawthornstack_queued_statements",
+            "hawthornstack_lease_seconds",
+            "hawthornstack_routes_version",
+            "hawthornstack_applied_index",
+            "hawthornstack_control_leader",
+            "hawthornstack_control_term",
+            "hawthornstack_control_voters",
+            "hawthornstack_control_entry_hosts",
+        ];
+        let gauges = gauges
+            .into_iter()
+            .map(|name| (name, meter.f64_gauge(name).with_description(text_of(name)).build()))
+            .collect();
+        Ok(Self {
+            statements: counter(&meter, "hawthornstack_statements"),
+            statement_seconds: histogram(&meter, "hawthornstack_statement_seconds"),
+            stage_seconds: histogram(&meter, "hawthornstack_stage_seconds"),
+            retries: counter(&meter, "hawthornstack_retries"),
+            refusals: counter(&meter, "hawthornstack_refusals"),
+            reads: counter(&meter, "hawthornstack_reads"),
+            left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
+            gauges,
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answered statement and its time.
+    pub fn count_statement(&self, route_kind: &'static str, outcome: &'static str, seconds: f64) {
+        let kind = KeyValue::new("kind", route_kind);
+        self.statement_seconds.record(seconds, std::slice::from_ref(&kind));
+        self.statements.add(1, &[kind, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Notes the time that a statement spent in one stage.
+    pub fn record_stage(&self, stage: &'static str, seconds: f64) {
+        self.stage_seconds.record(seconds, &[KeyValue::new("stage", stage)]);
+    }
+
+    /// Counts an attempt that is repeated.
+    pub fn count_retry(&self, reason: &'static str) {
+        self.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a statement that this host refused.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a read that was sent to a database.
+    pub fn count_read(&self, is_primary: bool) {
+        let role = if is_primary { "primary" } else { "replica" };
+        self.reads.add(1, &[KeyValue::new("role", role)]);
+    }
+
+    /// Counts log lines that were not written.
+    pub fn count_left_out(&self, kind: &'static str, lines: u64) {
+        self.left_out.add(lines, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets a gauge of [`HOST_METRIC_NAMES`].
+    pub fn set(&self, name: &str, value: f64, labels: &[KeyValue]) {
+        if let Some((_, gauge)) = self.gauges.iter().find(|(known, _)| *known == name) {
+            gauge.record(value, labels);
+        }
+    }
+
+    /// All metrics in the Prometheus text form.
+    pub fn page(&self) -> String {
+        let mut bytes = Vec::new();
+        // Writing text to memory does not fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+}
--- a/crates/daemon/tests/docs_match.rs
+++ b/crates/daemon/tests/docs_match.rs
@@ -2,7 +2,10 @@
 
 use std::path::{Path, PathBuf};
 
-use hawthornstack_daemon::{metrics::METRIC_NAMES, settings::DaemonSettings};
+use hawthornstack_daemon::{
+    metrics::{HOST_METRIC_NAMES, METRIC_NAMES},
+    settings::DaemonSettings,
+};
 use hawthornstack_decisions::outcomes::ResultCode;
 
 fn root() -> PathBuf {
@@ -36,8 +39,9 @@
 fn metric_names() {
     let page = page("METRICS.md");
     let rows: Vec<&str> = page.lines().filter(|line| line.starts_with("| `")).collect();
-    let expected: Vec<String> =
-        METRIC_NAMES.iter().map(|(name, text)| format!("| `{name}` | {text} |")).collect();
+    let daemon = METRIC_NAMES.iter().map(|(name, text)| format!("| `{name}` | {text} |"));
+    let hosts = HOST_METRIC_NAMES.iter().map(|(name, text)| format!("| `{name}`: {text} |"));
+    let expected: Vec<String> = daemon.chain(hosts).collect();
     assert_eq!(rows, expected);
 }
 
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -190,6 +190,11 @@
         self.lease.is_valid(now, self.applied)
     }
 
+    /// Time for which the lease still holds.
+    pub fn lease_left(&self, now: Moment) -> Duration {
+        self.lease.left(now, self.applied)
+    }
+
     /// The primary's record and term, whether or not it may be used.
     pub fn term(&self, service: &str) -> Option<&ServiceTerm> {
         self.terms.get(service)
--- a/crates/decisions/src/leases/held_lease.rs
+++ b/crates/decisions/src/leases/held_lease.rs
@@ -19,6 +19,14 @@
         }
     }
 
+    /// Time for which the lease still holds, zero if it does not.
+    pub fn left(&self, now: Moment, applied: u64) -> Duration {
+        match self.is_valid(now, applied) {
+            true => self.ends_at.since(now),
+            false => Duration::ZERO,
+        }
+    }
+
     /// True if the lease holds and the holder has applied what it requires.
     pub fn is_valid(&self, now: Moment, applied: u64) -> bool {
         now < self.ends_at && applied >= self.required_index
--- a/crates/decisions/src/routes/route_rule.rs
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -19,6 +19,17 @@
     },
 }
 
+impl RouteKind {
+    /// The kind's name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Primary => "primary",
+            Self::BoundedStaleness { .. } => "bounded staleness",
+            Self::ReadYourWrites { .. } => "read your writes",
+        }
+    }
+}
+
 /// How the requests for one database name are served.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
