--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -487,7 +487,9 @@
         let again = match answer.end {
             AnswerEnd::Refused(UpstreamCode::Busy | UpstreamCode::UnknownStatement) => true,
             AnswerEnd::Refused(UpstreamCode::Lagging | UpstreamCode::Misrouted) => {
-                shared.view.borrow_mut().loads.lagged(shared.now(), key);
+                if let Some(position) = place.after {
+                    shared.view.borrow_mut().loads.lagged(shared.now(), key, position);
+                }
                 tried.push(key.clone());
                 true
             }
--- a/crates/decisions/src/entry/instance_load.rs
+++ b/crates/decisions/src/entry/instance_load.rs
@@ -12,7 +12,7 @@
 /// Longest time for which a database is avoided without a new attempt.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
 /// Time for which a replica that lacked a position gets no further read that
-/// needs one it has not shown.
+/// needs this one or a newer one.
 const LAG_AVOIDANCE: Duration = Duration::from_millis(250);
 
 /// What this host saw of one database.
@@ -23,7 +23,8 @@
     latency_ms: f64,
     failures: u32,
     avoid_until: Moment,
-    lagging_until: Moment,
+    /// Oldest position that it lacked, and until when that counts.
+    lacking: Option<(LogPosition, Moment)>,
     /// Newest position seen in its answers.
     pub position: Option<LogPosition>,
 }
@@ -35,7 +36,7 @@
             latency_ms: FIRST_LATENCY_MS,
             failures: 0,
             avoid_until: Moment::ZERO,
-            lagging_until: Moment::ZERO,
+            lacking: None,
             position: None,
         }
     }
@@ -49,8 +50,9 @@
 
     /// True if it has shown the position, or probably has it.
     pub fn may_hold(&self, now: Moment, position: LogPosition, is_settled: bool) -> bool {
-        self.position.is_some_and(|held| held >= position)
-            || is_settled && now >= self.lagging_until
+        let holds = self.position.is_some_and(|held| held >= position);
+        let lacks = self.lacking.is_some_and(|(lacked, until)| now < until && position >= lacked);
+        holds || is_settled && !lacks
     }
 
     /// Expected time to an answer, for comparison only, in milliseconds.
@@ -104,9 +106,13 @@
         load.avoid_until = now + doubled.min(LONGEST_AVOIDANCE);
     }
 
-    /// The database lacked a position.
-    pub fn lagged(&mut self, now: Moment, key: &InstanceKey) {
-        self.loads.entry(key.clone()).or_default().lagging_until = now + LAG_AVOIDANCE;
+    /// The database lacked a position. Reads that accept an older one still go
+    /// there.
+    pub fn lagged(&mut self, now: Moment, key: &InstanceKey, position: LogPosition) {
+        let load = self.loads.entry(key.clone()).or_default();
+        let lacked = load.lacking.filter(|(_, until)| now < *until).map(|(lacked, _)| lacked);
+        let oldest = lacked.map_or(position, |lacked| lacked.min(position));
+        load.lacking = Some((oldest, now + LAG_AVOIDANCE));
     }
 
     /// Drops databases that are not in use.
--- /dev/null
+++ b/crates/decisions/tests/read_targets.rs
@@ -0,0 +1,136 @@
+//! Load pattern: replicas fall behind, and reads that accept different ages
+//! must not keep each other away from them.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornstack_decisions::{
+    clock::Moment,
+    entry::{EntryView, ReadMarks, ReadNeed, ReadTarget},
+    instances::{InstanceKey, InstanceRecord, InstanceRole},
+    positions::LogPosition,
+    primaries::{ServiceTerm, TermPhase},
+    routes::{RouteKind, RouteRule},
+};
+
+const SERVICE: &str = "books";
+
+fn record(id: &str, role: InstanceRole, port: u16) -> InstanceRecord {
+    InstanceRecord {
+        key: InstanceKey { id: Arc::from(id), born_ms: 1 },
+        sequence: 1,
+        service: Arc::from(SERVICE),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: Arc::from("a"),
+        slots: 2,
+        draining: false,
+        role,
+        warm_up: Duration::ZERO,
+    }
+}
+
+fn route(kind: RouteKind) -> RouteRule {
+    RouteRule {
+        name: Arc::from("r"),
+        database: Arc::from("seats"),
+        path: Arc::from("/"),
+        kind,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(200),
+        priority: 1,
+        service: Arc::from(SERVICE),
+    }
+}
+
+/// A primary, a replica, a lease until 10 s, and a mark a 100 ms from 1 s on:
+/// position (1, n) at n * 100 ms.
+fn view(now: Moment) -> EntryView {
+    let mut view = EntryView::new(Arc::from("a"));
+    let records = [record("p", InstanceRole::Primary, 1), record("r", InstanceRole::Replica, 2)];
+    view.announced(Moment::from_millis(500), &records);
+    let term = ServiceTerm {
+        service: Arc::from(SERVICE),
+        number: 1,
+        since_index: 1,
+        primary: records[0].key.clone(),
+        phase: TermPhase::Steady,
+    };
+    view.apply_state(1, None, vec![term]);
+    view.grant(Moment::from_millis(500), Duration::from_millis(9_500), 1, 1);
+    let mut at = Moment::from_millis(1_000);
+    while at < now {
+        let position = LogPosition::new(1, at.as_micros() / 100_000);
+        view.saw_primary(at, &Arc::from(SERVICE), 1, at, position);
+        at = at + Duration::from_millis(100);
+    }
+    view
+}
+
+fn target(view: &EntryView, now: Moment, kind: RouteKind, own: Option<LogPosition>) -> ReadTarget {
+    let need = view.read_need(now, &route(kind), own);
+    view.read_target(now, SERVICE, need, &[])
+}
+
+fn is_replica(target: &ReadTarget) -> bool {
+    matches!(target, ReadTarget::Replica { .. })
+}
+
+const NOW: Moment = Moment::from_millis(5_000);
+const YOUNG: RouteKind = RouteKind::BoundedStaleness { max_age: Duration::from_millis(1_000) };
+const OLD: RouteKind = RouteKind::ReadYourWrites { max_age: Duration::from_millis(2_500) };
+
+#[test]
+fn mark_is_never_older_than_the_accepted_age() {
+    let view = view(NOW);
+    let ReadNeed::Position { position, .. } = view.read_need(NOW, &route(YOUNG), None) else {
+        panic!("no mark");
+    };
+    assert!(position.offset >= 40, "{position}");
+    assert!(position.offset <= 42, "{position}");
+}
+
+#[test]
+fn refusal_of_a_young_read_leaves_the_replica_to_older_ones() {
+    let mut view = view(NOW);
+    assert!(is_replica(&target(&view, NOW, YOUNG, None)));
+    let ReadTarget::Replica { record, position } = target(&view, NOW, YOUNG, None) else {
+        panic!("no replica");
+    };
+    view.loads.lagged(NOW, &record.key, position);
+    assert_eq!(target(&view, NOW, YOUNG, None), ReadTarget::Primary);
+    assert!(is_replica(&target(&view, NOW, OLD, None)));
+    let later = NOW + Duration::from_millis(300);
+    assert!(is_replica(&target(&view, later, YOUNG, None)));
+}
+
+#[test]
+fn own_commit_goes_where_it_was_seen() {
+    let mut view = view(NOW);
+    let own = Some(LogPosition::new(1, 49));
+    assert_eq!(target(&view, NOW, OLD, own), ReadTarget::Primary);
+    let key = record("r", InstanceRole::Replica, 2).key;
+    view.loads.saw_position(&key, LogPosition::new(1, 49));
+    assert!(is_replica(&target(&view, NOW, OLD, own)));
+}
+
+#[test]
+fn primary_routes_never_leave_the_primary() {
+    let view = view(NOW);
+    assert_eq!(target(&view, NOW, RouteKind::Primary, None), ReadTarget::Primary);
+}
+
+#[test]
+fn marks_are_taken_only_under_a_lease() {
+    let mut view = view(NOW);
+    let late = Moment::from_millis(11_000);
+    view.saw_primary(late, &Arc::from(SERVICE), 1, late, LogPosition::new(1, 110));
+    assert_eq!(view.read_need(late, &route(YOUNG), None), ReadNeed::Latest);
+}
+
+#[test]
+fn marks_do_not_step_back() {
+    let mut marks = ReadMarks::default();
+    marks.record(Moment::from_millis(100), LogPosition::new(2, 5));
+    marks.record(Moment::from_millis(200), LogPosition::new(1, 9));
+    let mark = marks.oldest_within(Moment::from_millis(210), Duration::from_millis(50));
+    assert_eq!(mark, None);
+}
