--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -20,6 +20,12 @@
 /// Idle time after which a connection beyond the host's share is closed, so
 /// that another host may open one.
 const SURPLUS_IDLE: Duration = Duration::from_millis(800);
+/// Time for which a host keeps a connection beyond its share: long beside the
+/// handshake that it costs, short beside the time that another host may wait.
+const BORROWED_LIFETIME: Duration = Duration::from_millis(600);
+/// Time before a host borrows again: several attempts of a host without any
+/// connection.
+const BORROW_PAUSE: Duration = Duration::from_millis(250);
 /// Time before a database that took no more connections is tried again,
 /// doubled with each further refusal.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
@@ -57,6 +63,8 @@
 struct PoolState {
     idle: Vec<(UpstreamLink, Option<Instant>)>,
     open: usize,
+    /// Connections that this host need not give back.
+    share: usize,
     /// Connections in use outside transactions.
     running: usize,
     window: InflightWindow,
@@ -78,6 +86,7 @@
         let state = PoolState {
             idle: Vec::new(),
             open: 0,
+            share: limit,
             running: 0,
             window: InflightWindow::new(record.slots, hosts, limit),
             waiters: Vec::new(),
@@ -104,6 +113,7 @@
     ) -> Result<PooledLink, AcquireError> {
         loop {
             let limit = shared.connection_limit(&self.record);
+            self.state.borrow_mut().share = shared.connection_share(&self.record).max(1);
             let has_room = self.has_room(limit);
             if has_room && let Some(link) = self.take_idle() {
                 return Ok(self.lend(Some(link)));
@@ -292,6 +302,22 @@
         }
     }
 
+    /// True if the connection is beyond this host's share and was kept long
+    /// enough.
+    fn is_overdue(&self, link: &UpstreamLink) -> bool {
+        self.state.borrow().open > self.state.borrow().share
+            && link.opened.elapsed() >= BORROWED_LIFETIME
+    }
+
+    /// Leaves a borrowed place to hosts that may have none.
+    fn return_borrowed(&self) {
+        let mut state = self.state.borrow_mut();
+        state.open -= 1;
+        state.full_until = Some(Instant::now() + BORROW_PAUSE);
+        drop(state);
+        self.serve_next(None);
+    }
+
     /// Closes idle connections beyond `share`, or all if the database is gone.
     pub(super) fn tend(&self, share: usize, gone: bool) {
         let mut state = self.state.borrow_mut();
@@ -348,10 +374,14 @@
 
     /// Gives the connection back for other sessions.
     pub(super) fn release(mut self) {
-        if let Some(link) = self.link.take() {
-            self.given_back = true;
-            self.leave();
-            self.pool.serve_next(Some(link));
+        let Some(link) = self.link.take() else {
+            return;
+        };
+        self.given_back = true;
+        self.leave();
+        match self.pool.is_overdue(&link) {
+            true => self.pool.return_borrowed(),
+            false => self.pool.serve_next(Some(link)),
         }
     }
 
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -25,7 +25,7 @@
 const SPARE_CONNECTIONS: u32 = 1;
 /// Share of a database's connections below which one host borrows from the
 /// others: a few open transactions would use it up.
-const SMALL_SHARE: u32 = 4;
+const SMALL_SHARE: usize = 4;
 
 /// Part of its share that a host keeps open while idle. Databases hold the
 /// connections of hosts that lost power for seconds, and the rest of their
@@ -128,16 +128,22 @@
         (share / IDLE_PART).max(1) as usize
     }
 
-    /// Connections that this host opens to a database at most: its even share,
-    /// or beyond where that is too small to bear that callers spread unevenly.
-    pub(super) fn connection_limit(&self, record: &InstanceRecord) -> usize {
+    /// This host's even share of a database's connections, 0 if there are more
+    /// hosts than connections.
+    pub(super) fn connection_share(&self, record: &InstanceRecord) -> usize {
         let view = self.view.borrow();
         let rule = view.routes().and_then(|table| table.service(&record.service));
         let limit = rule.map_or(1, |rule| rule.max_connections).max(1);
-        let share = limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts();
+        (limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts()) as usize
+    }
+
+    /// Connections that this host opens to a database at most: its even share,
+    /// or beyond where that is too small to bear that callers spread unevenly.
+    pub(super) fn connection_limit(&self, record: &InstanceRecord) -> usize {
+        let share = self.connection_share(record);
         match share {
-            0..SMALL_SHARE => (2 * share + 1).min(limit) as usize,
-            _ => share as usize,
+            0..SMALL_SHARE => 2 * share + 1,
+            _ => share,
         }
     }
 
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -24,6 +24,9 @@
 /// Time for which a read waits for one database before the choice is made
 /// again: others may have become free, or may hold the position by now.
 const MOVE_AFTER: Duration = Duration::from_millis(40);
+/// Part of its timeout that a statement must have left to be sent, unless its
+/// database usually answers sooner.
+const SHORTEST_TIME_PART: u32 = 4;
 /// Pause before a database that had no room is asked again.
 const BUSY_PAUSE: Duration = Duration::from_millis(8);
 /// Pause after a database could not be reached.
@@ -108,6 +111,10 @@
                     let mut view = shared.view.borrow_mut();
                     view.saw_primary(shared.now(), service, number, now, position);
                 }
+                if !has_time(shared, limits, &record.key) {
+                    link.release();
+                    return Err(NoPlace::NoConnection);
+                }
                 if !still_usable(shared, service, number) {
                     link.release();
                     continue;
@@ -173,6 +180,14 @@
     }
 }
 
+/// True if the database will probably answer in time. A statement that is sent
+/// without time for an answer can only end in doubt.
+fn has_time(shared: &EntryShared, limits: &RunLimits<'_>, key: &InstanceKey) -> bool {
+    let left = limits.deadline.saturating_duration_since(Instant::now());
+    let usual = shared.view.borrow().loads.get(key).usual_latency();
+    left >= usual.min(limits.route.timeout / SHORTEST_TIME_PART)
+}
+
 /// True if the primary of the term may still be used; replicas always may.
 fn still_usable(shared: &EntryShared, service: &str, number: Option<u64>) -> bool {
     let Some(number) = number else {
--- a/crates/daemon/src/entry/upstream_link.rs
+++ b/crates/daemon/src/entry/upstream_link.rs
@@ -5,7 +5,10 @@
     instances::InstanceRecord,
     positions::LogPosition,
 };
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 use crate::{
     edges::{SessionPhase, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply},
@@ -64,6 +67,8 @@
 pub(super) struct UpstreamLink {
     lines: LineStream,
     pub(super) state: ConnectionState,
+    /// When it was opened.
+    pub(super) opened: Instant,
 }
 
 impl UpstreamLink {
@@ -79,7 +84,8 @@
             return Err(OpenError::Unreachable);
         };
         prepare_socket(&stream, UPSTREAM_SILENCE).map_err(|_| OpenError::Unreachable)?;
-        let mut link = Self { lines: LineStream::new(stream), state: ConnectionState::default() };
+        let (lines, state) = (LineStream::new(stream), ConnectionState::default());
+        let mut link = Self { lines, state, opened: Instant::now() };
         let mut out = Vec::new();
         let open =
             UpstreamCommand::Open { service: &record.service, caller, instance: &record.key.id };
--- a/crates/decisions/src/entry/instance_load.rs
+++ b/crates/decisions/src/entry/instance_load.rs
@@ -55,6 +55,11 @@
         holds || is_settled && !lacks
     }
 
+    /// Usual time to an answer.
+    pub fn usual_latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_ms.max(0.0) / 1_000.0)
+    }
+
     /// Expected time to an answer, for comparison only, in milliseconds.
     pub fn expected_ms(&self) -> f64 {
         self.latency_ms * f64::from(self.outstanding + 1)
