Send configurations to entry hosts packed, once for all, without the operator's text

Test: thousands_of_routes_fit_a_narrow_link. The simulated world of the tests gave two hosts the same random numbers, so that they ran against each other for ever; its seeds now differ.

--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeMap, io, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, io, rc::Rc, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     control_host::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
@@ -144,6 +144,14 @@
             EntryUpdate::NotLeader { leader } => return self.leader_named(host, leader),
             EntryUpdate::State { index, routes, terms } => {
                 self.leader = Some(host);
+                let routes = match routes.map(|packed| packed.unpack()).transpose() {
+                    Ok(routes) => routes.map(Arc::new),
+                    Err(error) => {
+                        // The next renewal asks for it again.
+                        tracing::error!(target: "entry", %error, "configuration not read");
+                        return;
+                    }
+                };
                 let planned = newly_planned(&shared, &terms);
                 let newer = shared.view.borrow_mut().apply_state(index, routes, terms);
                 if newer {
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -18,6 +18,7 @@
     instances::InstanceDirectory,
     leases::LeaseTable,
     primaries::{SuspicionPoll, TermChange},
+    routes::PackedRoutes,
 };
 
 /// Log entries kept in memory. Entries carry whole configurations, so few are
@@ -77,6 +78,8 @@
     pub(super) entries: BTreeMap<HostId, EntryProgress>,
     pub(super) notes: Option<LeaderNotes>,
     pub(super) orders: Vec<PendingOrder>,
+    /// The configuration as entry hosts get it.
+    pub(super) packed: Option<Arc<PackedRoutes>>,
     /// Index of the last command that entry hosts follow.
     pub(super) entry_index: u64,
     pub(super) effects: Vec<ControlEffect>,
@@ -111,6 +114,7 @@
             entries: BTreeMap::new(),
             notes: None,
             orders: Vec::new(),
+            packed: None,
             effects: Vec::new(),
             settings,
         };
--- a/crates/decisions/src/control_host/entry_flow.rs
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -3,7 +3,7 @@
 use super::{
     ControlEffect, ControlHost, EntryReport, EntryUpdate, control_host_state::EntryProgress,
 };
-use crate::{clock::Moment, control::ControlCommand, identity::HostId};
+use crate::{clock::Moment, control::ControlCommand, identity::HostId, routes::PackedRoutes};
 
 /// Silence after which a host whose lease ran out is no longer a holder.
 const HOLDER_RETENTION: Duration = Duration::from_secs(15);
@@ -139,12 +139,23 @@
         linked.into_iter().for_each(|host| self.send_state(host));
     }
 
+    /// The configuration as entry hosts get it, packed when it is first sent.
+    fn packed_routes(&mut self) -> Option<Arc<PackedRoutes>> {
+        let table = self.control.routes.as_ref()?;
+        if self.packed.as_ref().is_none_or(|packed| packed.version != table.version) {
+            // Encoding to memory does not fail.
+            self.packed = PackedRoutes::pack(table).ok().map(Arc::new);
+        }
+        self.packed.clone()
+    }
+
     fn send_state(&mut self, host: HostId) {
+        let packed = self.packed_routes();
         let Some(entry) = self.entries.get_mut(&host) else {
             return;
         };
         let held = entry.routes_version;
-        let routes = self.control.routes.clone().filter(|table| table.version > held);
+        let routes = packed.filter(|table| table.version > held);
         if let Some(table) = &routes {
             // A lost update is sent again when the host renews its lease.
             entry.routes_version = table.version;
--- a/crates/decisions/src/control_host/messages.rs
+++ b/crates/decisions/src/control_host/messages.rs
@@ -8,7 +8,7 @@
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
     primaries::ServiceTerm,
-    routes::RouteTable,
+    routes::PackedRoutes,
 };
 
 /// Messages between control hosts.
@@ -73,7 +73,7 @@
         /// Index of the log.
         index: u64,
         /// The configuration, if newer than what the host has.
-        routes: Option<Arc<RouteTable>>,
+        routes: Option<Arc<PackedRoutes>>,
         /// Primaries.
         terms: Vec<ServiceTerm>,
     },
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -89,7 +89,9 @@
             heartbeat_interval: Duration::from_millis(125),
             lease: Duration::from_millis(3_500),
             announcement_lifetime: Duration::from_secs(12),
-            seed: self.count + 7,
+            // The decisions mix in the host's number; equal sums would make hosts
+            // draw the same election timeouts for ever.
+            seed: (self.count + 1) * 1_000_003 + u64::from(id.0) * 8_191,
         };
         let known = self.hosts.remove(&id);
         let (disk, boot) = known.map_or((Vec::new(), 1), |host| (host.disk, host.boot + 1));
--- /dev/null
+++ b/crates/decisions/tests/packed_routes.rs
@@ -0,0 +1,68 @@
+//! Load pattern: a configuration of thousands of routes goes to every entry
+//! host over a link of 2 Mbit/s, and must be in force within seconds.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornstack_decisions::routes::{
+    PackedRoutes, RouteKind, RouteRule, RouteTable, ServiceRule, TrafficLimits,
+};
+
+/// Bytes that a link of 2 Mbit/s carries in one second.
+const SECOND_OF_NARROW_LINK: usize = 250_000;
+
+fn table(routes: u64) -> RouteTable {
+    let rule = |number: u64| {
+        // Names as operators draw them: no two alike.
+        let name = format!("{:x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        RouteRule {
+            name: Arc::from(format!("r-{name}")),
+            database: Arc::from(format!("d{name}")),
+            path: Arc::from("/"),
+            kind: RouteKind::BoundedStaleness { max_age: Duration::from_millis(1_500) },
+            timeout: Duration::from_millis(800 + number % 7),
+            objective: Duration::from_millis(100),
+            priority: 2,
+            service: Arc::from(format!("service{}", number % 8)),
+        }
+    };
+    RouteTable {
+        version: 32,
+        routes: (0..routes).map(rule).collect(),
+        services: vec![ServiceRule {
+            name: Arc::from("service0"),
+            max_connections: 21,
+            sync_replicas: 0,
+        }],
+        limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        source: Arc::from("x".repeat(400_000)),
+    }
+}
+
+#[test]
+fn routes_come_out_as_they_went_in() {
+    let table = table(50);
+    let packed = PackedRoutes::pack(&table).expect("packed");
+    let unpacked = packed.unpack().expect("unpacked");
+    assert_eq!(packed.version, 32);
+    assert_eq!((unpacked.routes, unpacked.services), (table.routes, table.services));
+    assert_eq!(&*unpacked.source, "");
+}
+
+#[test]
+fn thousands_of_routes_fit_a_narrow_link() {
+    let packed = PackedRoutes::pack(&table(2_000)).expect("packed");
+    let bytes = packed.packed_bytes();
+    assert!(bytes < SECOND_OF_NARROW_LINK / 2, "{bytes} bytes");
+}
+
+#[test]
+fn damaged_bytes_are_refused() {
+    let packed = PackedRoutes::pack(&table(50)).expect("packed");
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&packed, &mut bytes).expect("encoded");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0xff;
+    let read: Result<PackedRoutes, _> = ciborium::from_reader(&*bytes);
+    let same = read.ok().and_then(|read| read.unpack().ok());
+    assert!(same.is_none_or(|same| same.routes != table(50).routes));
+}
