Send statements through homes where there are more hosts than connections

Homes are ranked by hash for each database, open 3 connections each, and take other hosts' statements on a port of their own, where they look like the database.

--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -12,5 +12,6 @@
 };
 pub use operator_edge::{PromotionEdge, PromotionOrder};
 pub use upstream_protocol::{
-    MalformedReply, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply,
+    ForwardedCommand, MalformedReply, UpstreamCode, UpstreamCommand, UpstreamProtocol,
+    UpstreamReply,
 };
--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hawthornstack_decisions::{
     entry::PreparedShape, positions::LogPosition, primaries::InstanceStatus,
 };
 use snafu::Snafu;
 
-use super::SessionPhase;
+use super::{CallerStatement, MalformedRequest, SessionPhase};
 
 /// What is sent to a database.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +70,34 @@
     Status,
 }
 
+/// What another entry host sends for one of its callers, as its home reads it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ForwardedCommand {
+    /// Opens the connection on one database.
+    Open {
+        /// Service that it must belong to.
+        service: Arc<str>,
+        /// Id that it must have.
+        instance: Arc<str>,
+    },
+    /// A caller's statement.
+    Statement {
+        /// Position that the database must hold.
+        after: Option<LogPosition>,
+        /// The statement; prepared names are the connection's own.
+        statement: CallerStatement,
+    },
+    /// Begins a transaction.
+    Begin {
+        /// It only reads.
+        read_only: bool,
+        /// Position that the database must hold.
+        after: Option<LogPosition>,
+    },
+    /// Clears values and prepared statements.
+    Reset,
+}
+
 /// Why a database did not give a result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamCode {
@@ -135,6 +164,16 @@
     /// Appends a command.
     fn encode_command(&self, out: &mut Vec<u8>, command: UpstreamCommand<'_>);
 
+    /// Reads a command that another entry host wrote with
+    /// [`encode_command`](Self::encode_command).
+    ///
+    /// # Errors
+    /// `MalformedRequest` says what is wrong with it.
+    fn decode_forwarded(&self, line: &Bytes) -> Result<ForwardedCommand, MalformedRequest>;
+
+    /// Appends a refusal to another entry host; nothing ran.
+    fn encode_forward_refusal(&self, out: &mut Vec<u8>, code: UpstreamCode);
+
     /// Reads one message.
     ///
     /// # Errors
--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -13,7 +13,8 @@
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     statement_run::{
-        NoPlace, RunLimits, RunPlace, encode_statement, find_place, pause_busy, run_at,
+        NoPlace, ROLLBACK_TIMEOUT, RunLimits, RunPlace, encode_statement, find_place, pause_busy,
+        roll_back_place, run_at,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
@@ -21,9 +22,6 @@
     CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
 };
 
-/// Time for a database to roll a transaction back before its connection is
-/// closed instead.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Part of a read's time that its first database gets, in percent; the rest is
 /// for another one.
 const FIRST_READ_PERCENT: u32 = 60;
@@ -452,7 +450,7 @@
             }
             SessionPhase::Failed => {
                 self.state.transaction = TransactionPhase::Failed;
-                self.roll_back_at(place);
+                roll_back_place(&self.shared, place);
                 self.relay(answer)
             }
             SessionPhase::Idle => {
@@ -527,27 +525,9 @@
     /// Rolls the pinned transaction back, without making the caller wait.
     pub(super) fn roll_back(&mut self) {
         if let Some(place) = self.pinned.take() {
-            self.roll_back_at(place);
+            roll_back_place(&self.shared, place);
         }
     }
-
-    fn roll_back_at(&self, mut place: RunPlace) {
-        let shared = self.shared.clone();
-        if shared.cancel.is_cancelled() {
-            // The database rolls back when the connection closes.
-            return;
-        }
-        self.shared.tasks.spawn_local(async move {
-            let mut out = Vec::new();
-            shared.upstreams.encode_command(&mut out, UpstreamCommand::Rollback);
-            let deadline = Instant::now() + ROLLBACK_TIMEOUT;
-            let mut trace = RequestTrace::new(b"-", shared.now());
-            let answer = run_at(&shared, &mut place, &out, 0, deadline, &mut trace).await;
-            if answer.is_ok_and(|answer| answer.phase == SessionPhase::Idle) {
-                place.link.release();
-            }
-        });
-    }
 }
 
 impl Drop for CallerSession {
--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -10,7 +10,10 @@
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
-use super::{entry_shared::EntryShared, primary_probe::probe_primary};
+use super::{
+    entry_shared::{EntryShared, ShutdownStage},
+    primary_probe::probe_primary,
+};
 use crate::links::{host_address, open_link};
 
 /// Time between two requests for a lease: a lease outlives six lost ones.
@@ -159,6 +162,7 @@
                 }
             }
             EntryUpdate::Hosts(hosts) => return self.dial_all(&hosts),
+            EntryUpdate::EntryHosts(hosts) => shared.view.borrow_mut().set_entry_hosts(hosts),
             EntryUpdate::Announced(records) => shared.view.borrow_mut().announced(now, &records),
             EntryUpdate::Departed(departures) => shared.view.borrow_mut().departed(&departures),
             EntryUpdate::Expired(departures) => shared.view.borrow_mut().expired(&departures),
@@ -232,6 +236,7 @@
             sent_at: self.shared.now(),
             applied: self.confirmed,
             routes_version: view.routes_version(),
+            leaving: self.shared.stage.get() != ShutdownStage::Serving,
         };
         if let Some(link) = self.links.get_mut(&host).filter(|link| link.is_open) {
             link.asked_at = Instant::now();
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -2,6 +2,7 @@
 
 use hawthornstack_decisions::{
     entry::{InflightWindow, QueuedStatement, next_in_queue},
+    identity::HostId,
     instances::InstanceRecord,
     positions::LogPosition,
 };
@@ -15,7 +16,7 @@
     entry_shared::EntryShared,
     upstream_link::{OpenError, UpstreamLink},
 };
-use crate::{clock::BootClock, metrics::HostMetrics};
+use crate::{clock::BootClock, links::host_address, metrics::HostMetrics};
 
 /// Idle time after which a connection beyond the host's share is closed, so
 /// that another host may open one.
@@ -78,11 +79,18 @@
 #[derive(Debug)]
 pub(super) struct DatabasePool {
     record: InstanceRecord,
+    /// The host through which it is reached, if not directly.
+    home: Option<HostId>,
     state: RefCell<PoolState>,
 }
 
 impl DatabasePool {
-    pub(super) fn new(record: &InstanceRecord, hosts: u32, limit: usize) -> Rc<Self> {
+    pub(super) fn new(
+        record: &InstanceRecord,
+        home: Option<HostId>,
+        hosts: u32,
+        limit: usize,
+    ) -> Rc<Self> {
         let state = PoolState {
             idle: Vec::new(),
             open: 0,
@@ -93,13 +101,17 @@
             full_until: None,
             refusals: 0,
         };
-        Rc::new(Self { record: record.clone(), state: RefCell::new(state) })
+        Rc::new(Self { record: record.clone(), home, state: RefCell::new(state) })
     }
 
     pub(super) fn record(&self) -> &InstanceRecord {
         &self.record
     }
 
+    pub(super) fn home(&self) -> Option<HostId> {
+        self.home
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.state.borrow().open == 0
     }
@@ -112,8 +124,8 @@
         deadline: Instant,
     ) -> Result<PooledLink, AcquireError> {
         loop {
-            let limit = shared.connection_limit(&self.record);
-            self.state.borrow_mut().share = shared.connection_share(&self.record).max(1);
+            let limit = shared.connection_limit(&self.record, self.home);
+            self.state.borrow_mut().share = shared.connection_share(&self.record, self.home).max(1);
             let has_room = self.has_room(limit);
             if has_room && let Some(link) = self.take_idle() {
                 return Ok(self.lend(Some(link)));
@@ -220,8 +232,12 @@
         // Counts the connection also if the task ends while it is opened.
         let mut pooled = self.lend(None);
         let protocol = &*shared.upstreams;
-        let (link, position) =
-            UpstreamLink::open(protocol, &self.record, &shared.settings.name).await?;
+        let address = match self.home {
+            Some(home) => host_address(home, shared.settings.forward_port),
+            None => self.record.address,
+        };
+        let name = &shared.settings.name;
+        let (link, position) = UpstreamLink::open(protocol, &self.record, address, name).await?;
         pooled.link = Some(link);
         pooled.opened_at = position;
         self.state.borrow_mut().refusals = 0;
@@ -357,6 +373,11 @@
         self.pool.record()
     }
 
+    /// The host through which the database is reached, if not directly.
+    pub(super) fn home(&self) -> Option<HostId> {
+        self.pool.home
+    }
+
     /// The connection belongs to a transaction from now on: it no longer
     /// counts as running while the transaction waits.
     pub(super) fn pin(&mut self) {
--- a/crates/daemon/src/entry/entry_host.rs
+++ b/crates/daemon/src/entry/entry_host.rs
@@ -11,11 +11,12 @@
     EntrySettings,
     control_links::ControlLinks,
     entry_shared::{EntryShared, ShutdownStage},
+    forward_task::accept_forwards,
     session_task::serve_caller,
 };
 use crate::{
     edges::{CallerProtocol, UpstreamProtocol},
-    links::bind_listener,
+    links::{bind_listener, host_address},
     metrics::HostMetrics,
 };
 
@@ -46,6 +47,7 @@
         metrics: HostMetrics,
     ) -> io::Result<Self> {
         let listener = bind_listener(settings.callers)?;
+        let forwards = bind_listener(host_address(settings.me, settings.forward_port))?;
         let (reports, received) = mpsc::unbounded_channel();
         let cancel = CancellationToken::new();
         let shared =
@@ -57,6 +59,7 @@
             let _ = cancelled.run_until_cancelled(links).await;
         });
         tasks.spawn_local(accept_callers(shared.clone(), listener));
+        tasks.spawn_local(accept_forwards(shared.clone(), forwards));
         Ok(Self { shared })
     }
 
--- a/crates/daemon/src/entry/entry_settings.rs
+++ b/crates/daemon/src/entry/entry_settings.rs
@@ -17,6 +17,8 @@
     pub seeds: Vec<HostId>,
     /// Port on which control hosts accept links.
     pub link_port: u16,
+    /// Port on which entry hosts take statements from each other.
+    pub forward_port: u16,
     /// Time between a request to stop and the end of the process.
     pub grace: Duration,
 }
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -3,12 +3,14 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use hawthornstack_decisions::{
     clock::Moment,
     control_host::EntryReport,
-    entry::EntryView,
+    entry::{DatabasePath, EntryView},
+    identity::HostId,
     instances::{InstanceKey, InstanceRecord},
 };
 use tokio::sync::{Notify, mpsc};
@@ -30,7 +32,13 @@
 /// Part of its share that a host keeps open while idle. Databases hold the
 /// connections of hosts that lost power for seconds, and the rest of their
 /// places is all that the hosts have when they are back.
-const IDLE_PART: u32 = 4;
+const IDLE_PART: usize = 4;
+
+/// Links of one host to one home for one database: transactions that wait for
+/// their next statement hold one each.
+const HOME_LINKS: usize = 8;
+/// Time for which a home that could not be reached is passed over.
+const HOME_AVOIDANCE: Duration = Duration::from_millis(1_000);
 
 /// How far a host is on its way to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,7 +70,9 @@
     pub(super) tasks: TaskTracker,
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
-    pools: RefCell<HashMap<InstanceKey, Rc<DatabasePool>>>,
+    pools: RefCell<HashMap<(InstanceKey, Option<HostId>), Rc<DatabasePool>>>,
+    /// Homes that could not be reached, and until when they are passed over.
+    avoided: RefCell<HashMap<HostId, Moment>>,
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
 
@@ -92,6 +102,7 @@
             metrics,
             traces: TraceBudget::default(),
             pools: RefCell::new(HashMap::new()),
+            avoided: RefCell::new(HashMap::new()),
             writes: RefCell::new(BTreeMap::new()),
         }
     }
@@ -100,50 +111,84 @@
         self.clock.now()
     }
 
-    /// The pool of connections to a database.
+    /// The pool of connections to a database, direct or through a home.
     pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
-        let limit = self.connection_limit(record);
+        let home = match self.path_to(record) {
+            DatabasePath::Direct { .. } => None,
+            DatabasePath::Homes(homes) => self.usable_home(&homes),
+        };
+        self.pool_by(record, home)
+    }
+
+    /// The pool of this host's own connections to a database.
+    pub(super) fn direct_pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
+        self.pool_by(record, None)
+    }
+
+    fn pool_by(&self, record: &InstanceRecord, home: Option<HostId>) -> Rc<DatabasePool> {
+        let limit = self.connection_limit(record, home);
         let hosts = self.view.borrow().entry_hosts();
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry(record.key.clone());
-        pool.or_insert_with(|| DatabasePool::new(record, hosts, limit)).clone()
+        let pool = pools.entry((record.key.clone(), home));
+        pool.or_insert_with(|| DatabasePool::new(record, home, hosts, limit)).clone()
     }
 
-    /// Closes what is idle beyond this host's share, and the connections to
-    /// databases that are gone.
-    pub(super) fn tend_pools(&self) {
-        let view = self.view.borrow();
-        self.pools.borrow_mut().retain(|key, pool| {
-            let gone = view.instance(key).is_none();
-            pool.tend(self.idle_share(&view, pool), gone);
-            !(gone && pool.is_empty())
-        });
+    fn usable_home(&self, homes: &[HostId]) -> Option<HostId> {
+        let now = self.now();
+        let avoided = self.avoided.borrow();
+        let usable = |home: &&HostId| avoided.get(home).is_none_or(|until| now >= *until);
+        homes.iter().find(usable).or(homes.first()).copied()
     }
 
-    fn idle_share(&self, view: &EntryView, pool: &DatabasePool) -> usize {
-        let routes = view.routes();
-        let rule = routes.and_then(|table| table.service(&pool.record().service));
-        let limit = rule.map_or(1, |rule| rule.max_connections);
-        let share = limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts();
-        (share / IDLE_PART).max(1) as usize
+    /// Passes over a home for a while.
+    pub(super) fn avoid_home(&self, home: HostId) {
+        self.avoided.borrow_mut().insert(home, self.now() + HOME_AVOIDANCE);
     }
 
-    /// This host's even share of a database's connections, 0 if there are more
-    /// hosts than connections.
-    pub(super) fn connection_share(&self, record: &InstanceRecord) -> usize {
+    fn path_to(&self, record: &InstanceRecord) -> DatabasePath {
         let view = self.view.borrow();
         let rule = view.routes().and_then(|table| table.service(&record.service));
         let limit = rule.map_or(1, |rule| rule.max_connections).max(1);
-        (limit.saturating_sub(SPARE_CONNECTIONS) / view.entry_hosts()) as usize
+        let connections = limit.saturating_sub(SPARE_CONNECTIONS).max(1);
+        view.path_to(self.settings.me, &record.key.id, connections)
+    }
+
+    /// Closes what is idle beyond this host's share, and the connections to
+    /// databases that are gone.
+    pub(super) fn tend_pools(&self) {
+        let pools: Vec<Rc<DatabasePool>> = self.pools.borrow().values().cloned().collect();
+        for pool in pools {
+            let gone = self.view.borrow().instance(&pool.record().key).is_none();
+            let share = self.connection_share(pool.record(), pool.home());
+            pool.tend((share / IDLE_PART).max(1), gone);
+            if gone && pool.is_empty() {
+                self.pools.borrow_mut().remove(&(pool.record().key.clone(), pool.home()));
+            }
+        }
+    }
+
+    /// This host's even share of a database's connections, or of a home's.
+    pub(super) fn connection_share(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
+        match (home, self.path_to(record)) {
+            (Some(_), _) => HOME_LINKS,
+            (None, DatabasePath::Direct { connections }) => connections as usize,
+            // No longer a home: what runs ends, nothing is opened beside it.
+            (None, DatabasePath::Homes(_)) => 0,
+        }
     }
 
     /// Connections that this host opens to a database at most: its even share,
     /// or beyond where that is too small to bear that callers spread unevenly.
-    pub(super) fn connection_limit(&self, record: &InstanceRecord) -> usize {
-        let share = self.connection_share(record);
+    pub(super) fn connection_limit(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
+        let share = self.connection_share(record, home);
+        let all_share = {
+            let view = self.view.borrow();
+            let rule = view.routes().and_then(|table| table.service(&record.service));
+            rule.is_none_or(|rule| rule.max_connections > view.entry_hosts())
+        };
         match share {
-            0..SMALL_SHARE => 2 * share + 1,
-            _ => share,
+            0..SMALL_SHARE if all_share => 2 * share + 1,
+            _ => share.max(1),
         }
     }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod entry_host;
 mod entry_settings;
 mod entry_shared;
+mod forward_task;
 mod primary_probe;
 mod request_trace;
 mod session_task;
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -16,7 +16,7 @@
     request_trace::{RequestTrace, TraceStep},
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
-use crate::edges::{CallerStatement, StatementAction, UpstreamCode, UpstreamCommand};
+use crate::edges::{CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand};
 
 /// Time without an answer after which a primary is probed: longer than nearly
 /// all statements, shorter than the usual timeouts.
@@ -29,6 +29,9 @@
 const SHORTEST_TIME_PART: u32 = 4;
 /// Pause before a database that had no room is asked again.
 const BUSY_PAUSE: Duration = Duration::from_millis(8);
+/// Time for a database to roll a transaction back before its connection is
+/// closed instead.
+pub(super) const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after a database could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -133,6 +136,11 @@
                 pool.log_exhausted(&trace.id);
                 return Err(NoPlace::NoConnection);
             }
+            Err(AcquireError::Misrouted | AcquireError::Unreachable) if pool.home().is_some() => {
+                pool.home().into_iter().for_each(|home| shared.avoid_home(home));
+                sleep(UNREACHABLE_PAUSE).await;
+                continue;
+            }
             Err(AcquireError::Misrouted) => note_failure(shared, &record.key, None, service),
             Err(AcquireError::Unreachable) => note_failure(shared, &record.key, number, service),
         }
@@ -247,7 +255,9 @@
         }
     }
     drop(view);
-    if matches!(result, Err(LinkError::Broken | LinkError::TimedOut)) {
+    if let (Err(LinkError::Broken), Some(home)) = (&result, place.link.home()) {
+        shared.avoid_home(home);
+    } else if matches!(result, Err(LinkError::Broken | LinkError::TimedOut)) {
         note_failure(shared, &key, number, &service);
     }
     result
@@ -332,6 +342,25 @@
     steps.len()
 }
 
+/// Rolls a transaction back at its database, without making anyone wait.
+pub(super) fn roll_back_place(shared: &Rc<EntryShared>, mut place: RunPlace) {
+    if shared.cancel.is_cancelled() {
+        // The database rolls back when the connection closes.
+        return;
+    }
+    let task = shared.clone();
+    shared.tasks.spawn_local(async move {
+        let mut out = Vec::new();
+        task.upstreams.encode_command(&mut out, UpstreamCommand::Rollback);
+        let deadline = Instant::now() + ROLLBACK_TIMEOUT;
+        let mut trace = RequestTrace::new(b"-", task.now());
+        let answer = run_at(&task, &mut place, &out, 0, deadline, &mut trace).await;
+        if answer.is_ok_and(|answer| answer.phase == SessionPhase::Idle) {
+            place.link.release();
+        }
+    });
+}
+
 /// Waits before a database without room is asked again; false if the time is
 /// up.
 pub(super) async fn pause_busy(shared: &EntryShared, deadline: Instant) -> bool {
--- a/crates/daemon/src/entry/upstream_link.rs
+++ b/crates/daemon/src/entry/upstream_link.rs
@@ -1,4 +1,4 @@
-use std::{io, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use hawthornstack_decisions::{
     entry::{ConnectionState, RestoreStep},
@@ -72,14 +72,16 @@
 }
 
 impl UpstreamLink {
-    /// Connects to exactly this start of a database, and returns the position
+    /// Connects to exactly this start of a database, directly or through the
+    /// home at `address`, and returns the position
     /// that it was at.
     pub(super) async fn open(
         protocol: &dyn UpstreamProtocol,
         record: &InstanceRecord,
+        address: SocketAddr,
         caller: &str,
     ) -> Result<(Self, Option<LogPosition>), OpenError> {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(record.address)).await;
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connected else {
             return Err(OpenError::Unreachable);
         };
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -52,7 +52,10 @@
     pub(super) applied: u64,
     pub(super) routes_version: u64,
     pub(super) linked: bool,
+    pub(super) leaving: bool,
     pub(super) heard_at: Moment,
+    /// Hash of the entry hosts that it was told of.
+    pub(super) told_hosts: u64,
 }
 
 /// What only the leader keeps; a new leader starts with an empty one.
--- a/crates/decisions/src/control_host/entry_flow.rs
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -1,5 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{
     ControlEffect, ControlHost, EntryReport, EntryUpdate, control_host_state::EntryProgress,
 };
@@ -12,7 +14,14 @@
     pub(super) fn entry_linked(&mut self, now: Moment, host: HostId) {
         self.entries.insert(
             host,
-            EntryProgress { applied: 0, routes_version: 0, linked: true, heard_at: now },
+            EntryProgress {
+                applied: 0,
+                routes_version: 0,
+                linked: true,
+                leaving: false,
+                heard_at: now,
+                told_hosts: 0,
+            },
         );
         let hosts = self.known_hosts();
         self.send_entry(host, EntryUpdate::Hosts(hosts));
@@ -32,8 +41,18 @@
 
     pub(super) fn entry_reported(&mut self, now: Moment, host: HostId, report: EntryReport) {
         match report {
-            EntryReport::Renew { sent_at, applied, routes_version } => {
-                self.renewed(now, host, sent_at, applied, routes_version);
+            EntryReport::Renew { sent_at, applied, routes_version, leaving } => {
+                let before = self.entries.get(&host);
+                let told_hosts = before.map_or(0, |entry| entry.told_hosts);
+                let progress = EntryProgress {
+                    applied,
+                    routes_version,
+                    linked: true,
+                    leaving,
+                    heard_at: now,
+                    told_hosts,
+                };
+                self.renewed(now, host, sent_at, progress);
             }
             EntryReport::PrimaryReachable { service, number, reachable } => {
                 self.opined(now, host, &service, number, reachable);
@@ -41,15 +60,8 @@
         }
     }
 
-    fn renewed(
-        &mut self,
-        now: Moment,
-        host: HostId,
-        sent_at: Moment,
-        applied: u64,
-        routes_version: u64,
-    ) {
-        let progress = EntryProgress { applied, routes_version, linked: true, heard_at: now };
+    fn renewed(&mut self, now: Moment, host: HostId, sent_at: Moment, progress: EntryProgress) {
+        let applied = progress.applied;
         let caught_up =
             self.entries.insert(host, progress).is_some_and(|before| before.applied < applied);
         if !self.is_current(now) {
@@ -63,6 +75,7 @@
             return self.propose_once(now, ControlCommand::HolderJoined(host));
         }
         self.grant(now, host, sent_at);
+        self.tell_entry_hosts(host);
         if caught_up {
             self.lead(now);
         }
@@ -80,6 +93,20 @@
         self.send_entry(host, grant);
     }
 
+    /// Tells an entry host which others there are, if that changed.
+    fn tell_entry_hosts(&mut self, host: HostId) {
+        let stays = |host: &HostId| self.entries.get(host).is_none_or(|entry| !entry.leaving);
+        let hosts: Vec<HostId> = self.control.holders.iter().copied().filter(stays).collect();
+        let bytes: Vec<u8> = hosts.iter().flat_map(|host| host.0.to_be_bytes()).collect();
+        let hash = xxh3_64(&bytes);
+        let Some(entry) = self.entries.get_mut(&host).filter(|entry| entry.told_hosts != hash)
+        else {
+            return;
+        };
+        entry.told_hosts = hash;
+        self.send_entry(host, EntryUpdate::EntryHosts(hosts));
+    }
+
     fn opined(
         &mut self,
         now: Moment,
--- a/crates/decisions/src/control_host/messages.rs
+++ b/crates/decisions/src/control_host/messages.rs
@@ -37,6 +37,8 @@
         applied: u64,
         /// Version of the configuration that it has.
         routes_version: u64,
+        /// It is stopping, and should be nobody's home.
+        leaving: bool,
     },
     /// Whether it reaches a primary.
     PrimaryReachable {
@@ -79,6 +81,8 @@
     },
     /// Control hosts that the sender knows.
     Hosts(Vec<HostId>),
+    /// Entry hosts that may be homes of databases.
+    EntryHosts(Vec<HostId>),
     /// Databases announced themselves.
     Announced(Vec<InstanceRecord>),
     /// Databases said that they are gone.
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -7,11 +7,13 @@
 use super::{LoadTable, ReadMarks};
 use crate::{
     clock::Moment,
+    identity::HostId,
     instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord},
     leases::HeldLease,
     positions::LogPosition,
     primaries::ServiceTerm,
     routes::{RouteKind, RouteRule, RouteTable},
+    sessions::rank_hosts,
 };
 
 /// Part of the accepted age that is kept for the way to the replica.
@@ -24,6 +26,22 @@
 /// How much dearer a read is in another data centre.
 const REMOTE_WEIGHT: f64 = 1.25;
 
+/// Connections of one home: enough for a few open transactions beside the
+/// statements that run.
+const HOME_CONNECTIONS: u32 = 3;
+
+/// How a host reaches a database.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DatabasePath {
+    /// By connections of its own, at most about so many.
+    Direct {
+        /// The host's even share.
+        connections: u32,
+    },
+    /// Through one of these hosts, the preferred one first.
+    Homes(Vec<HostId>),
+}
+
 /// Whether a service's primary may be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrimaryUse {
@@ -78,6 +96,7 @@
     lease: HeldLease,
     applied: u64,
     entry_hosts: u32,
+    homes: Vec<HostId>,
     /// What this host saw of the databases.
     pub loads: LoadTable,
 }
@@ -95,6 +114,7 @@
             lease: HeldLease::default(),
             applied: 0,
             entry_hosts: 1,
+            homes: Vec::new(),
             loads: LoadTable::default(),
         }
     }
@@ -136,6 +156,31 @@
         self.entry_hosts = entry_hosts.max(1);
     }
 
+    /// Takes the entry hosts that may be homes.
+    pub fn set_entry_hosts(&mut self, hosts: Vec<HostId>) {
+        self.homes = hosts;
+    }
+
+    /// How a host connects to a database, where `connections` may be opened by
+    /// all hosts together.
+    ///
+    /// With fewer connections than hosts, some hosts are the database's homes:
+    /// they alone connect to it, and the others send their statements there.
+    pub fn path_to(&self, me: HostId, instance: &str, connections: u32) -> DatabasePath {
+        if connections >= self.entry_hosts || self.homes.is_empty() {
+            return DatabasePath::Direct { connections: connections / self.entry_hosts };
+        }
+        let homes = (connections / HOME_CONNECTIONS).max(1);
+        let mut ranked = rank_hosts(instance.as_bytes(), self.homes.iter().copied());
+        ranked.truncate(homes as usize);
+        if ranked.contains(&me) {
+            return DatabasePath::Direct { connections: connections / homes };
+        }
+        // Each host has an order of its own, so that the homes share the work.
+        let key = [instance.as_bytes(), &me.0.to_be_bytes()].concat();
+        DatabasePath::Homes(rank_hosts(&key, ranked))
+    }
+
     /// Takes announcements.
     pub fn announced(&mut self, now: Moment, records: &[InstanceRecord]) {
         for record in records {
@@ -205,6 +250,11 @@
         self.directory.find(key)
     }
 
+    /// The newest start of a database by its id.
+    pub fn instance_by_id(&self, id: &str) -> Option<&InstanceRecord> {
+        self.directory.get(id)
+    }
+
     /// Whether the service's primary may be used now.
     pub fn primary(&self, now: Moment, service: &str) -> PrimaryUse {
         if !self.has_lease(now) {
--- a/crates/decisions/src/entry/mod.rs
+++ b/crates/decisions/src/entry/mod.rs
@@ -10,7 +10,7 @@
 mod session_state;
 
 pub use connection_state::{ConnectionState, RestoreStep};
-pub use entry_view::{EntryView, PrimaryUse, ReadNeed, ReadTarget};
+pub use entry_view::{DatabasePath, EntryView, PrimaryUse, ReadNeed, ReadTarget};
 pub use inflight_window::InflightWindow;
 pub use instance_load::{InstanceLoad, LoadTable};
 pub use queue_order::{QueuedStatement, next_in_queue};
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -204,7 +204,8 @@
             })
             .max()
             .unwrap_or(0);
-        let report = EntryReport::Renew { sent_at: self.now, applied, routes_version: 0 };
+        let report =
+            EntryReport::Renew { sent_at: self.now, applied, routes_version: 0, leaving: false };
         self.step(at, ControlEvent::Entry(entry, report));
     }
 
