--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -53,6 +53,9 @@
     ClosingAll,
 }
 
+/// A database and the home through which it is reached, if any.
+type PoolKey = (InstanceKey, Option<HostId>);
+
 /// What the tasks of an entry host share; all run on one thread.
 pub(super) struct EntryShared {
     pub(super) settings: EntrySettings,
@@ -70,7 +73,7 @@
     pub(super) tasks: TaskTracker,
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
-    pools: RefCell<HashMap<(InstanceKey, Option<HostId>), Rc<DatabasePool>>>,
+    pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Homes that could not be reached, and until when they are passed over.
     avoided: RefCell<HashMap<HostId, Moment>>,
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
--- a/crates/decisions/src/control/service_terms.rs
+++ b/crates/decisions/src/control/service_terms.rs
@@ -71,8 +71,13 @@
         let Some(term) = self.terms.get_mut(service).filter(|term| term.number == number) else {
             return;
         };
-        let fenced_for_plan = term.phase == TermPhase::Fencing { planned: true };
-        if matches!(term.phase, TermPhase::Fencing { .. }) && !(fenced_for_plan && !planned) {
+        // A planned change may turn into one for a failure, not the other way.
+        let goes_on = match &term.phase {
+            TermPhase::Fencing { planned: true } => !planned,
+            TermPhase::Fencing { planned: false } => false,
+            TermPhase::Steady | TermPhase::Promoting { .. } => true,
+        };
+        if !goes_on {
             return;
         }
         term.phase = TermPhase::Fencing { planned };
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -1,11 +1,12 @@
 //! Load pattern: replicas fall behind, and reads that accept different ages
 //! must not keep each other away from them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry::{EntryView, ReadMarks, ReadNeed, ReadTarget},
+    entry::{DatabasePath, EntryView, ReadMarks, ReadNeed, ReadTarget},
+    identity::HostId,
     instances::{InstanceKey, InstanceRecord, InstanceRole},
     positions::LogPosition,
     primaries::{ServiceTerm, TermPhase},
@@ -134,3 +135,54 @@
     let mark = marks.oldest_within(Moment::from_millis(210), Duration::from_millis(50));
     assert_eq!(mark, None);
 }
+
+fn path(view: &EntryView, me: u32, connections: u32) -> DatabasePath {
+    view.path_to(HostId(me), "i-1", connections)
+}
+
+/// A view of so many entry hosts.
+fn crowd(hosts: u32) -> EntryView {
+    let mut view = EntryView::new(Arc::from("a"));
+    view.grant(Moment::ZERO, Duration::from_secs(1), 0, hosts);
+    view.set_entry_hosts((1..=hosts).map(HostId).collect());
+    view
+}
+
+#[test]
+fn every_host_connects_while_there_are_connections_for_all() {
+    let view = crowd(9);
+    for me in 1..=9 {
+        assert_eq!(path(&view, me, 15), DatabasePath::Direct { connections: 1 });
+    }
+}
+
+#[test]
+fn homes_open_no_more_connections_than_there_are() {
+    for (hosts, connections) in [(60, 20), (71, 5), (300, 1), (10, 9)] {
+        let view = crowd(hosts);
+        let mut opened = 0;
+        let mut homes = Vec::new();
+        for me in 1..=hosts {
+            match path(&view, me, connections) {
+                DatabasePath::Direct { connections } => opened += connections,
+                DatabasePath::Homes(ranked) => homes.push(ranked),
+            }
+        }
+        assert!((1..=connections).contains(&opened), "{hosts}: {opened} of {connections}");
+        let first = homes.first().expect("a host that is no home").len();
+        assert!(homes.iter().all(|ranked| ranked.len() == first));
+    }
+}
+
+#[test]
+fn homes_share_the_other_hosts() {
+    let view = crowd(60);
+    let mut preferred = BTreeMap::new();
+    for me in 1..=60 {
+        if let DatabasePath::Homes(ranked) = path(&view, me, 20) {
+            *preferred.entry(ranked[0]).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(preferred.len(), 6);
+    assert!(preferred.values().all(|hosts| (3..=16).contains(hosts)), "{preferred:?}");
+}
--- a/crates/decisions/tests/shared_connections.rs
+++ b/crates/decisions/tests/shared_connections.rs
@@ -36,7 +36,7 @@
 }
 
 fn shape(number: u8) -> PreparedShape {
-    PreparedShape { writes: number % 2 == 0, shape: Arc::from(format!("q{number}")) }
+    PreparedShape { writes: number.is_multiple_of(2), shape: Arc::from(format!("q{number}")) }
 }
 
 #[test]
