--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -21,8 +21,9 @@
 /// Idle time after which a connection beyond the host's share is closed, so
 /// that another host may open one.
 const SURPLUS_IDLE: Duration = Duration::from_millis(800);
-/// Time for which a host keeps a connection beyond its share: long beside the
-/// handshake that it costs, short beside the time that another host may wait.
+/// Time for which a host keeps a connection beyond its share, which it has after
+/// others joined: long beside the handshake that it costs, short beside the time
+/// that another host may wait.
 const BORROWED_LIFETIME: Duration = Duration::from_millis(600);
 /// Time before a host borrows again: several attempts of a host without any
 /// connection.
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -25,10 +25,6 @@
 
 /// Connections to a database that are left to control's questions.
 const SPARE_CONNECTIONS: u32 = 1;
-/// Share of a database's connections below which one host borrows from the
-/// others: a few open transactions would use it up.
-const SMALL_SHARE: usize = 4;
-
 /// Part of its share that a host keeps open while idle. Databases hold the
 /// connections of hosts that lost power for seconds, and the rest of their
 /// places is all that the hosts have when they are back.
@@ -180,19 +176,11 @@
         }
     }
 
-    /// Connections that this host opens to a database at most: its even share,
-    /// or beyond where that is too small to bear that callers spread unevenly.
+    /// Connections that this host opens to a database at most. All hosts
+    /// together stay within what the database takes, but for the moment in which
+    /// hosts come or go.
     pub(super) fn connection_limit(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
-        let share = self.connection_share(record, home);
-        let all_share = {
-            let view = self.view.borrow();
-            let rule = view.routes().and_then(|table| table.service(&record.service));
-            rule.is_none_or(|rule| rule.max_connections > view.entry_hosts())
-        };
-        match share {
-            0..SMALL_SHARE if all_share => 2 * share + 1,
-            _ => share.max(1),
-        }
+        self.connection_share(record, home).max(1)
     }
 
     /// Sets the gauges.
--- a/crates/daemon/src/links/line_stream.rs
+++ b/crates/daemon/src/links/line_stream.rs
@@ -1,6 +1,6 @@
 use std::io;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -92,6 +92,5 @@
         if self.buffer.is_empty() && self.buffer.capacity() > 8 * READ_BYTES {
             self.buffer = BytesMut::new();
         }
-        self.buffer.advance(0);
     }
 }
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -291,7 +291,7 @@
             _ => return,
         }
         self.entry_index = index;
-        self.push_state(now);
+        self.push_state();
         self.lead(now);
     }
 
@@ -311,7 +311,7 @@
         self.control = snapshot.state;
         self.entry_index = self.control.applied;
         self.recall_instances(now);
-        self.push_state(now);
+        self.push_state();
     }
 
     fn elected(&mut self, now: Moment, term: u64) {
--- a/crates/decisions/src/control_host/entry_flow.rs
+++ b/crates/decisions/src/control_host/entry_flow.rs
@@ -158,7 +158,7 @@
     }
 
     /// Sends the committed state to all linked entry hosts, if this host leads.
-    pub(super) fn push_state(&mut self, _now: Moment) {
+    pub(super) fn push_state(&mut self) {
         if !self.agreement.is_leader() {
             return;
         }
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -164,10 +164,11 @@
     /// How a host connects to a database, where `connections` may be opened by
     /// all hosts together.
     ///
-    /// With fewer connections than hosts, some hosts are the database's homes:
-    /// they alone connect to it, and the others send their statements there.
+    /// With too few connections for every host to have a home's number, some
+    /// hosts are the database's homes: they alone connect to it, and the others
+    /// send their statements there.
     pub fn path_to(&self, me: HostId, instance: &str, connections: u32) -> DatabasePath {
-        if connections >= self.entry_hosts || self.homes.is_empty() {
+        if connections >= HOME_CONNECTIONS * self.entry_hosts || self.homes.is_empty() {
             return DatabasePath::Direct { connections: connections / self.entry_hosts };
         }
         let homes = (connections / HOME_CONNECTIONS).max(1);
