--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -14,13 +14,11 @@
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     statement_run::{
         NoPlace, ROLLBACK_TIMEOUT, RunLimits, RunPlace, encode_statement, find_place, pause_busy,
-        roll_back_place, run_at,
+        run_at,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
-use crate::edges::{
-    CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
-};
+use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
 /// Part of a read's time that its first database gets, in percent; the rest is
 /// for another one.
@@ -51,12 +49,12 @@
 
 /// One caller's session.
 pub(super) struct CallerSession {
-    shared: Rc<EntryShared>,
+    pub(super) shared: Rc<EntryShared>,
     database: Arc<str>,
-    state: SessionState,
-    pinned: Option<RunPlace>,
+    pub(super) state: SessionState,
+    pub(super) pinned: Option<RunPlace>,
     /// The pinned transaction has written.
-    wrote: bool,
+    pub(super) wrote: bool,
     /// When the caller asked for the session, until its first operation ends:
     /// a caller that opened it for that operation has waited since then.
     opened: Option<Moment>,
@@ -208,7 +206,7 @@
         }
     }
 
-    fn writes(&self, statement: &CallerStatement) -> bool {
+    pub(super) fn writes(&self, statement: &CallerStatement) -> bool {
         match &statement.action {
             StatementAction::Write => true,
             StatementAction::Execute { name, .. } => {
@@ -316,164 +314,9 @@
         AttemptEnd::Reply(self.relay(answer))
     }
 
-    /// Runs the first statement of a transaction, which picks its connection.
-    async fn run_first(
-        &mut self,
-        route: &RouteRule,
-        statement: &CallerStatement,
-        read_only: bool,
-        arrived: Moment,
-        deadline: Instant,
-        trace: &mut RequestTrace,
-    ) -> CallerReply {
-        let limits = RunLimits {
-            route,
-            arrived,
-            deadline,
-            needs_primary: !read_only,
-            may_move: read_only && route.kind != RouteKind::Primary,
-            writes: !read_only,
-            last_commit: self.state.last_commit,
-        };
-        let mut tried = Vec::new();
-        while Instant::now() < deadline {
-            let place = match find_place(&self.shared, &limits, &mut tried, trace).await {
-                Ok(place) => place,
-                Err(no_place) => {
-                    self.state.transaction = TransactionPhase::Failed;
-                    return refuse_no_place(no_place);
-                }
-            };
-            if let Some(place) = self.begin_at(place, read_only, &mut tried, deadline, trace).await
-            {
-                self.state.transaction = TransactionPhase::Pinned { read_only };
-                self.wrote = false;
-                return self.run_pinned(place, statement, deadline, trace).await;
-            }
-        }
-        self.state.transaction = TransactionPhase::Failed;
-        refuse(CallerRefusal::NotRun, "no database had room")
-    }
-
-    /// Begins the transaction at a database; `None` if it did not take it.
-    async fn begin_at(
-        &mut self,
-        mut place: RunPlace,
-        read_only: bool,
-        tried: &mut Vec<InstanceKey>,
-        deadline: Instant,
-        trace: &mut RequestTrace,
-    ) -> Option<RunPlace> {
-        let mut out = Vec::new();
-        let steps = place.link.link()?.state.restore_values(&self.state);
-        let protocol = &*self.shared.upstreams;
-        super::upstream_link::encode_steps(protocol, &mut out, &steps);
-        let after = place.after;
-        protocol.encode_command(&mut out, UpstreamCommand::Begin { read_only, after });
-        let key = place.link.record().key.clone();
-        match run_at(&self.shared, &mut place, &out, steps.len(), deadline, trace).await {
-            Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(place),
-            Ok(answer) if answer.phase == SessionPhase::Idle => {
-                let retry = self.should_retry(&place, &answer, tried, deadline);
-                place.link.release();
-                retry.await;
-                trace.note(
-                    self.shared.now(),
-                    TraceStep::Retried { reason: retry_reason(answer.end) },
-                );
-                None
-            }
-            _ => {
-                if place.number.is_none() {
-                    tried.push(key);
-                }
-                None
-            }
-        }
-    }
-
-    /// Runs a statement of a transaction on its connection.
-    async fn run_pinned(
-        &mut self,
-        mut place: RunPlace,
-        statement: &CallerStatement,
-        deadline: Instant,
-        trace: &mut RequestTrace,
-    ) -> CallerReply {
-        let commits = statement.action == StatementAction::Commit;
-        let writes = self.writes(statement);
-        loop {
-            let mut out = Vec::with_capacity(statement.text.len() + 64);
-            let Some(link) = place.link.link() else {
-                return self.abort("the connection is gone");
-            };
-            let restoring =
-                encode_statement(&self.shared, link, &self.state, statement, None, &mut out);
-            let answer =
-                match run_at(&self.shared, &mut place, &out, restoring, deadline, trace).await {
-                    Ok(answer) => answer,
-                    Err(_) if commits && self.wrote => {
-                        self.state.transaction = TransactionPhase::Idle;
-                        let hint = "the commit was not answered";
-                        return refuse(CallerRefusal::InDoubt, hint);
-                    }
-                    Err(_) if commits => {
-                        self.state.transaction = TransactionPhase::Idle;
-                        let hint = "the transaction, which wrote nothing, was not committed";
-                        return refuse(CallerRefusal::Aborted, hint);
-                    }
-                    Err(_) => return self.abort("the transaction's connection is lost"),
-                };
-            let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
-            if busy
-                && answer.phase == SessionPhase::InTransaction
-                && pause_busy(&self.shared, deadline).await
-            {
-                continue;
-            }
-            self.wrote |= writes && answer.end == AnswerEnd::Done;
-            return self.finish_pinned(place, statement, answer);
-        }
-    }
-
-    fn finish_pinned(
-        &mut self,
-        mut place: RunPlace,
-        statement: &CallerStatement,
-        answer: UpstreamAnswer,
-    ) -> CallerReply {
-        match answer.phase {
-            SessionPhase::InTransaction => {
-                place.link.pin();
-                self.pinned = Some(place);
-                self.relay(answer)
-            }
-            SessionPhase::Failed => {
-                self.state.transaction = TransactionPhase::Failed;
-                roll_back_place(&self.shared, place);
-                self.relay(answer)
-            }
-            SessionPhase::Idle => {
-                self.state.transaction = TransactionPhase::Idle;
-                let (number, service) = (place.number, place.service.clone());
-                place.link.release();
-                let committed =
-                    statement.action == StatementAction::Commit && answer.end == AnswerEnd::Done;
-                if committed && self.wrote {
-                    if !self.accepts(&service, number) {
-                        let hint = "the primary was replaced before it answered";
-                        return refuse(CallerRefusal::InDoubt, hint);
-                    }
-                    self.state.committed(answer.position);
-                }
-                self.relay(answer)
-            }
-        }
-    }
-
     /// Notes why a database ran nothing, and resolves to true once another
     /// attempt may be made.
-    fn should_retry(
+    pub(super) fn should_retry(
         &self,
         place: &RunPlace,
         answer: &UpstreamAnswer,
@@ -499,35 +342,15 @@
         async move { again && (!pauses || pause_busy(&shared, deadline).await) }
     }
 
-    fn accepts(&self, service: &str, number: Option<u64>) -> bool {
+    pub(super) fn accepts(&self, service: &str, number: Option<u64>) -> bool {
         let view = self.shared.view.borrow();
         number.is_some_and(|number| view.accepts_answer(self.shared.now(), service, number))
     }
 
-    fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
+    pub(super) fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
         self.position = answer.position;
         CallerReply::Relayed { served: answer.end == AnswerEnd::Done, body: answer.body }
     }
-
-    fn abort(&mut self, hint: &'static str) -> CallerReply {
-        self.state.transaction = TransactionPhase::Failed;
-        refuse(CallerRefusal::Aborted, hint)
-    }
-
-    /// Ends a transaction that waited too long for its next statement.
-    pub(super) fn end_idle_transaction(&mut self) {
-        if self.pinned.is_some() {
-            self.state.transaction = TransactionPhase::Failed;
-            self.roll_back();
-        }
-    }
-
-    /// Rolls the pinned transaction back, without making the caller wait.
-    pub(super) fn roll_back(&mut self) {
-        if let Some(place) = self.pinned.take() {
-            roll_back_place(&self.shared, place);
-        }
-    }
 }
 
 impl Drop for CallerSession {
@@ -536,7 +359,7 @@
     }
 }
 
-fn retry_reason(end: AnswerEnd) -> &'static str {
+pub(super) fn retry_reason(end: AnswerEnd) -> &'static str {
     match end {
         AnswerEnd::Refused(code) => code.name(),
         AnswerEnd::Done => "begun nowhere",
@@ -556,7 +379,7 @@
     CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
 }
 
-fn refuse_no_place(no_place: NoPlace) -> CallerReply {
+pub(super) fn refuse_no_place(no_place: NoPlace) -> CallerReply {
     let hint = match no_place {
         NoPlace::NoConnection => "no connection to the database was free; try again at once",
         NoPlace::NoPrimary => "the primary is being replaced; try again in 500 ms",
@@ -564,6 +387,6 @@
     refuse(CallerRefusal::NotRun, hint)
 }
 
-fn refuse(refusal: CallerRefusal, hint: &'static str) -> CallerReply {
+pub(super) fn refuse(refusal: CallerRefusal, hint: &'static str) -> CallerReply {
     CallerReply::Refused(refusal, hint)
 }
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod request_trace;
 mod session_task;
 mod statement_run;
+mod transaction_run;
 mod upstream_link;
 
 pub use entry_host::EntryHost;
