--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -139,6 +139,9 @@
             Err(AcquireError::Misrouted | AcquireError::Unreachable) if pool.home().is_some() => {
                 pool.home().into_iter().for_each(|home| shared.avoid_home(home));
                 sleep(UNREACHABLE_PAUSE).await;
+                if Instant::now() >= limits.deadline {
+                    return Err(NoPlace::NoConnection);
+                }
                 continue;
             }
             Err(AcquireError::Misrouted) => note_failure(shared, &record.key, None, service),
