Serve twins by one piece of code on entry hosts, and find a database's path once a statement

Four accept loops become links::accept_each, two answers to whether a stopping host closes a session become closes_session, two encodings of a begin become encode_begin. A statement ranked all entry hosts by hash up to four times (pool, limit and share, each of them again in the queue); the share is now set with the pool. Whether to try again is a value, not a future. refuse() had become the name of its constructor. Behaviour as before, but for the log line of a connection that was not accepted, which names who connected in a field. Checked: linter without warnings, the platform's tests (wire, bodies, settings, whole path over loopback) pass.

--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -1,4 +1,4 @@
-use std::{io, time::Duration};
+use std::{cell::Cell, io, time::Duration};
 
 use hawthornstack_decisions::{
     control_host::{ControlEvent, ControlMessage, EntryUpdate, LinkFrame, LinkRole},
@@ -10,7 +10,7 @@
     time::{sleep, timeout},
 };
 
-use crate::links::{FrameReader, FrameWriter, accept_link, host_address, open_link};
+use crate::links::{FrameReader, FrameWriter, accept_each, accept_link, host_address, open_link};
 
 /// Pause before a control host is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(200);
@@ -23,8 +23,6 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for a frame to be taken; longer silences close the link.
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pause after a link could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What links tell the control service.
 pub(super) enum LinkEvent {
@@ -80,24 +78,17 @@
 
 /// Accepts links of control and entry hosts.
 pub(super) async fn accept_links(listener: TcpListener, events: mpsc::UnboundedSender<LinkEvent>) {
-    let mut number = 0;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                number += 1;
-                let events = events.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_link(stream, number, &events).await {
-                        tracing::debug!(target: "control", %error, "a link closed");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(target: "control", %error, "a link was not accepted");
-                sleep(ACCEPT_PAUSE).await;
+    let count = Cell::new(0);
+    accept_each(listener, "host", move |stream| {
+        count.set(count.get() + 1);
+        let (number, events) = (count.get(), events.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(error) = serve_link(stream, number, &events).await {
+                tracing::debug!(target: "control", %error, "a link closed");
             }
-        }
-    }
+        });
+    })
+    .await;
 }
 
 async fn serve_link(
--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -47,6 +47,28 @@
     Again,
 }
 
+/// Whether a statement that a database did not run is tried again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RetryAdvice {
+    /// The caller gets the database's answer.
+    Final,
+    /// Elsewhere, at once.
+    AtOnce,
+    /// After a pause, if there is time for one.
+    AfterPause,
+}
+
+impl RetryAdvice {
+    /// Pauses if need be; true if another attempt may be made.
+    pub(super) async fn follow(self, shared: &EntryShared, deadline: Instant) -> bool {
+        match self {
+            Self::Final => false,
+            Self::AtOnce => true,
+            Self::AfterPause => pause_busy(shared, deadline).await,
+        }
+    }
+}
+
 /// One caller's session.
 pub(super) struct CallerSession {
     pub(super) shared: Rc<EntryShared>,
@@ -245,7 +267,7 @@
             match end {
                 AttemptEnd::Reply(reply) => return reply,
                 AttemptEnd::Again if Instant::now() >= deadline => {
-                    return refuse(CallerRefusal::NotRun, "no database had room");
+                    return CallerReply::Refused(CallerRefusal::NotRun, "no database had room");
                 }
                 AttemptEnd::Again => {}
             }
@@ -278,11 +300,11 @@
                     LinkError::TimedOut => "the database did not answer in time",
                     LinkError::TermChanged => "the primary was replaced",
                 };
-                return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
+                return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::InDoubt, hint));
             }
             Err(LinkError::TimedOut) if Instant::now() >= limits.deadline => {
                 let hint = "the database did not answer in time";
-                return AttemptEnd::Reply(refuse(CallerRefusal::TimedOut, hint));
+                return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::TimedOut, hint));
             }
             Err(_) => {
                 tried.push(key);
@@ -292,54 +314,57 @@
         };
         if answer.phase != SessionPhase::Idle {
             let hint = "the database's connection is in an unknown state";
-            return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
+            return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::InDoubt, hint));
         }
-        let retry = self.should_retry(&place, &answer, tried, limits.deadline);
+        let advice = self.retry_advice(&place, &answer, tried);
         let (number, service) = (place.number, place.service.clone());
         match answer.end {
             AnswerEnd::Refused(UpstreamCode::UnknownStatement) => drop(place),
             _ => place.link.release(),
         }
-        if retry.await {
+        if advice.follow(&self.shared, limits.deadline).await {
             trace.note(self.shared.now(), TraceStep::Retried { reason: retry_reason(answer.end) });
             return AttemptEnd::Again;
         }
         if limits.writes && answer.end == AnswerEnd::Done {
             if !self.accepts(&service, number) {
                 let hint = "the primary was replaced before it answered";
-                return AttemptEnd::Reply(refuse(CallerRefusal::InDoubt, hint));
+                return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::InDoubt, hint));
             }
             self.state.committed(answer.position);
         }
         AttemptEnd::Reply(self.relay(answer))
     }
 
-    /// Notes why a database ran nothing, and resolves to true once another
-    /// attempt may be made.
-    pub(super) fn should_retry(
+    /// Notes why a database ran nothing, and says whether another attempt may be
+    /// made.
+    pub(super) fn retry_advice(
         &self,
         place: &RunPlace,
         answer: &UpstreamAnswer,
         tried: &mut Vec<InstanceKey>,
-        deadline: Instant,
-    ) -> impl Future<Output = bool> + use<> {
-        let shared = self.shared.clone();
-        let key = &place.link.record().key;
-        let again = match answer.end {
-            AnswerEnd::Refused(UpstreamCode::Busy | UpstreamCode::UnknownStatement) => true,
-            AnswerEnd::Refused(UpstreamCode::Lagging | UpstreamCode::Misrouted) => {
+    ) -> RetryAdvice {
+        let AnswerEnd::Refused(code) = answer.end else {
+            return RetryAdvice::Final;
+        };
+        match code {
+            UpstreamCode::Busy | UpstreamCode::UnknownStatement | UpstreamCode::ReadOnly => {
+                RetryAdvice::AfterPause
+            }
+            UpstreamCode::Lagging | UpstreamCode::Misrouted => {
+                let key = &place.link.record().key;
                 if let Some(position) = place.after {
-                    shared.view.borrow_mut().loads.lagged(shared.now(), key, position);
+                    let now = self.shared.now();
+                    self.shared.view.borrow_mut().loads.lagged(now, key, position);
                 }
                 tried.push(key.clone());
-                true
+                match code {
+                    UpstreamCode::Lagging => RetryAdvice::AtOnce,
+                    _ => RetryAdvice::AfterPause,
+                }
             }
-            AnswerEnd::Refused(UpstreamCode::ReadOnly) => true,
-            AnswerEnd::Refused(UpstreamCode::ConnectionLimit | UpstreamCode::Other)
-            | AnswerEnd::Done => false,
-        };
-        let pauses = !matches!(answer.end, AnswerEnd::Refused(UpstreamCode::Lagging));
-        async move { again && (!pauses || pause_busy(&shared, deadline).await) }
+            UpstreamCode::ConnectionLimit | UpstreamCode::Other => RetryAdvice::Final,
+        }
     }
 
     pub(super) fn accepts(&self, service: &str, number: Option<u64>) -> bool {
@@ -384,9 +409,5 @@
         NoPlace::NoConnection => "no connection to the database was free; try again at once",
         NoPlace::NoPrimary => "the primary is being replaced; try again in 500 ms",
     };
-    refuse(CallerRefusal::NotRun, hint)
-}
-
-pub(super) fn refuse(refusal: CallerRefusal, hint: &'static str) -> CallerReply {
-    CallerReply::Refused(refusal, hint)
+    CallerReply::Refused(CallerRefusal::NotRun, hint)
 }
--- a/crates/daemon/src/entry/database_pool.rs
+++ b/crates/daemon/src/entry/database_pool.rs
@@ -65,7 +65,8 @@
 struct PoolState {
     idle: Vec<(UpstreamLink, Option<Instant>)>,
     open: usize,
-    /// Connections that this host need not give back.
+    /// Connections that this host opens at most. All hosts together stay within
+    /// what the database takes, but for the moment in which hosts come or go.
     share: usize,
     /// Connections in use outside transactions.
     running: usize,
@@ -90,14 +91,15 @@
         record: &InstanceRecord,
         home: Option<HostId>,
         hosts: u32,
-        limit: usize,
+        share: usize,
     ) -> Rc<Self> {
+        let share = share.max(1);
         let state = PoolState {
             idle: Vec::new(),
             open: 0,
-            share: limit,
+            share,
             running: 0,
-            window: InflightWindow::new(record.slots, hosts, limit),
+            window: InflightWindow::new(record.slots, hosts, share),
             waiters: Vec::new(),
             full_until: None,
             refusals: 0,
@@ -113,6 +115,14 @@
         self.home
     }
 
+    /// Sets how many connections this host opens; at least one, so that what it
+    /// has taken can run.
+    pub(super) fn set_share(&self, share: usize) {
+        let mut state = self.state.borrow_mut();
+        state.share = share.max(1);
+        state.window.set_largest(share.max(1));
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.state.borrow().open == 0
     }
@@ -125,13 +135,11 @@
         deadline: Instant,
     ) -> Result<PooledLink, AcquireError> {
         loop {
-            let limit = shared.connection_limit(&self.record, self.home);
-            self.state.borrow_mut().share = shared.connection_share(&self.record, self.home).max(1);
-            let has_room = self.has_room(limit);
+            let has_room = self.has_room();
             if has_room && let Some(link) = self.take_idle() {
                 return Ok(self.lend(Some(link)));
             }
-            let may_open = if has_room { self.may_open(limit) } else { Err(None) };
+            let may_open = if has_room { self.may_open() } else { Err(None) };
             let waits_until = match may_open {
                 Ok(()) => match self.open(shared).await {
                     Ok(link) => return Ok(link),
@@ -148,9 +156,8 @@
     }
 
     /// True if the window lets another statement go to the database.
-    fn has_room(&self, limit: usize) -> bool {
-        let mut state = self.state.borrow_mut();
-        state.window.set_largest(limit);
+    fn has_room(&self) -> bool {
+        let state = self.state.borrow();
         state.running < state.window.limit()
     }
 
@@ -217,9 +224,9 @@
 
     /// Whether a connection may be opened now; if not, when to try again
     /// without a connection being given back.
-    fn may_open(&self, limit: usize) -> Result<(), Option<Instant>> {
+    fn may_open(&self) -> Result<(), Option<Instant>> {
         let state = self.state.borrow();
-        if state.open >= limit {
+        if state.open >= state.share {
             return Err(None);
         }
         match state.full_until {
@@ -322,8 +329,8 @@
     /// True if the connection is beyond this host's share and was kept long
     /// enough.
     fn is_overdue(&self, link: &UpstreamLink) -> bool {
-        self.state.borrow().open > self.state.borrow().share
-            && link.opened.elapsed() >= BORROWED_LIFETIME
+        let state = self.state.borrow();
+        state.open > state.share && link.opened.elapsed() >= BORROWED_LIFETIME
     }
 
     /// Leaves a borrowed place to hosts that may have none.
--- a/crates/daemon/src/entry/entry_host.rs
+++ b/crates/daemon/src/entry/entry_host.rs
@@ -1,7 +1,6 @@
 use std::{io, rc::Rc, time::Duration};
 
 use tokio::{
-    net::TcpListener,
     sync::mpsc,
     time::{Instant, sleep, sleep_until, timeout},
 };
@@ -11,12 +10,12 @@
     EntrySettings,
     control_links::ControlLinks,
     entry_shared::{EntryShared, ShutdownStage},
-    forward_task::accept_forwards,
+    forward_task::serve_forwards,
     session_task::serve_caller,
 };
 use crate::{
     edges::{CallerProtocol, UpstreamProtocol},
-    links::{bind_listener, host_address},
+    links::{accept_each, bind_listener, host_address},
     metrics::HostMetrics,
 };
 
@@ -27,8 +26,6 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
 /// Time between two looks at what is still open while the host stops.
 const CLOSING_INTERVAL: Duration = Duration::from_millis(50);
-/// Pause after a connection could not be accepted, for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A running entry host. Its tasks live on the current thread's local set.
 pub struct EntryHost {
@@ -52,14 +49,18 @@
         let cancel = CancellationToken::new();
         let shared =
             Rc::new(EntryShared::new(settings, callers, upstreams, reports, metrics, cancel));
-        let tasks = shared.tasks.clone();
         let links = ControlLinks::run(shared.clone(), received);
-        let cancelled = shared.cancel.clone();
-        tasks.spawn_local(async move {
-            let _ = cancelled.run_until_cancelled(links).await;
+        spawn_until_cancelled(&shared, links);
+        let callers = shared.clone();
+        let accepting = accept_each(listener, "caller", move |stream| {
+            callers.tasks.spawn_local(serve_caller(callers.clone(), stream));
         });
-        tasks.spawn_local(accept_callers(shared.clone(), listener));
-        tasks.spawn_local(accept_forwards(shared.clone(), forwards));
+        spawn_until_cancelled(&shared, accepting);
+        let hosts = shared.clone();
+        let accepting = accept_each(forwards, "entry host", move |stream| {
+            hosts.tasks.spawn_local(serve_forwards(hosts.clone(), stream));
+        });
+        spawn_until_cancelled(&shared, accepting);
         Ok(Self { shared })
     }
 
@@ -102,17 +103,11 @@
     }
 }
 
-async fn accept_callers(shared: Rc<EntryShared>, listener: TcpListener) {
+/// Runs a task until the host stops.
+fn spawn_until_cancelled(shared: &EntryShared, task: impl Future<Output = ()> + 'static) {
     let cancel = shared.cancel.clone();
-    while let Some(accepted) = cancel.run_until_cancelled(listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => {
-                shared.tasks.spawn_local(serve_caller(shared.clone(), stream));
-            }
-            Err(error) => {
-                tracing::warn!(target: "entry", %error, "a caller was not accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    shared.tasks.spawn_local(async move {
+        // Cancelled or done, nothing is left to say.
+        let _ = cancel.run_until_cancelled(task).await;
+    });
 }
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -110,26 +110,45 @@
         self.clock.now()
     }
 
+    /// True if a session, idle or in a transaction, is closed before its next
+    /// statement.
+    pub(super) fn closes_session(&self, is_idle: bool) -> bool {
+        match self.stage.get() {
+            ShutdownStage::Serving | ShutdownStage::Leaving => false,
+            ShutdownStage::ClosingIdle => is_idle,
+            ShutdownStage::ClosingAll => true,
+        }
+    }
+
     /// The pool of connections to a database, direct or through a home.
     pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
-        let home = match self.path_to(record) {
-            DatabasePath::Direct { .. } => None,
-            DatabasePath::Homes(homes) => self.usable_home(&homes),
-        };
-        self.pool_by(record, home)
+        match self.path_to(record) {
+            DatabasePath::Direct { connections } => {
+                self.pool_by(record, None, connections as usize)
+            }
+            DatabasePath::Homes(homes) => {
+                self.pool_by(record, self.usable_home(&homes), HOME_LINKS)
+            }
+        }
     }
 
     /// The pool of this host's own connections to a database.
     pub(super) fn direct_pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
-        self.pool_by(record, None)
+        self.pool_by(record, None, self.connection_share(record, None))
     }
 
-    fn pool_by(&self, record: &InstanceRecord, home: Option<HostId>) -> Rc<DatabasePool> {
-        let limit = self.connection_limit(record, home);
+    fn pool_by(
+        &self,
+        record: &InstanceRecord,
+        home: Option<HostId>,
+        share: usize,
+    ) -> Rc<DatabasePool> {
         let hosts = self.view.borrow().entry_hosts();
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry((record.key.clone(), home));
-        pool.or_insert_with(|| DatabasePool::new(record, home, hosts, limit)).clone()
+        let pool = pool.or_insert_with(|| DatabasePool::new(record, home, hosts, share));
+        pool.set_share(share);
+        pool.clone()
     }
 
     fn usable_home(&self, homes: &[HostId]) -> Option<HostId> {
@@ -159,6 +178,7 @@
         for pool in pools {
             let gone = self.view.borrow().instance(&pool.record().key).is_none();
             let share = self.connection_share(pool.record(), pool.home());
+            pool.set_share(share);
             pool.tend((share / IDLE_PART).max(1), gone);
             if gone && pool.is_empty() {
                 self.pools.borrow_mut().remove(&(pool.record().key.clone(), pool.home()));
@@ -167,7 +187,7 @@
     }
 
     /// This host's even share of a database's connections, or of a home's.
-    pub(super) fn connection_share(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
+    fn connection_share(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
         match (home, self.path_to(record)) {
             (Some(_), _) => HOME_LINKS,
             (None, DatabasePath::Direct { connections }) => connections as usize,
@@ -176,13 +196,6 @@
         }
     }
 
-    /// Connections that this host opens to a database at most. All hosts
-    /// together stay within what the database takes, but for the moment in which
-    /// hosts come or go.
-    pub(super) fn connection_limit(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
-        self.connection_share(record, home).max(1)
-    }
-
     /// Sets the gauges.
     pub(super) fn measure(&self) {
         let now = self.now();
--- a/crates/daemon/src/entry/forward_task.rs
+++ b/crates/daemon/src/entry/forward_task.rs
@@ -6,22 +6,16 @@
     instances::InstanceRecord,
     positions::LogPosition,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::{Instant, sleep},
-};
+use tokio::{net::TcpStream, time::Instant};
 
 use super::{
-    entry_shared::{EntryShared, ShutdownStage},
+    entry_shared::EntryShared,
     request_trace::RequestTrace,
-    statement_run::{RunPlace, encode_statement, roll_back_place, run_at},
-    upstream_link::{UpstreamAnswer, encode_steps},
+    statement_run::{RunPlace, encode_begin, encode_statement, roll_back_place, run_at},
+    upstream_link::UpstreamAnswer,
 };
 use crate::{
-    edges::{
-        CallerStatement, ForwardedCommand, SessionPhase, StatementAction, UpstreamCode,
-        UpstreamCommand,
-    },
+    edges::{CallerStatement, ForwardedCommand, SessionPhase, StatementAction, UpstreamCode},
     links::{LineStream, prepare_socket},
 };
 
@@ -33,26 +27,10 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Silence of another host with unacknowledged data after which it is gone.
 const FORWARD_SILENCE: Duration = Duration::from_secs(2);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Takes statements of entry hosts for databases that this host is a home of.
-pub(super) async fn accept_forwards(shared: Rc<EntryShared>, listener: TcpListener) {
-    let cancel = shared.cancel.clone();
-    while let Some(accepted) = cancel.run_until_cancelled(listener.accept()).await {
-        match accepted {
-            Ok((stream, _)) => {
-                shared.tasks.spawn_local(serve_forwards(shared.clone(), stream));
-            }
-            Err(error) => {
-                tracing::warn!(target: "entry", %error, "a host was not accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
 
-async fn serve_forwards(shared: Rc<EntryShared>, stream: TcpStream) {
+/// Takes another entry host's statements for a database that this host is a home
+/// of.
+pub(super) async fn serve_forwards(shared: Rc<EntryShared>, stream: TcpStream) {
     if prepare_socket(&stream, FORWARD_SILENCE).is_err() {
         return;
     }
@@ -109,12 +87,7 @@
 ) -> io::Result<Option<Bytes>> {
     loop {
         let changed = shared.changed.notified();
-        let closes = match shared.stage.get() {
-            ShutdownStage::Serving | ShutdownStage::Leaving => false,
-            ShutdownStage::ClosingIdle => link.place.is_none(),
-            ShutdownStage::ClosingAll => true,
-        };
-        if closes {
+        if shared.closes_session(link.place.is_none()) {
             return Ok(lines.take_line());
         }
         tokio::select! {
@@ -225,11 +198,8 @@
         let Some(link) = place.link.link() else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        let steps = link.state.restore_values(&self.state);
-        let protocol = &*self.shared.upstreams;
-        encode_steps(protocol, &mut bytes, &steps);
-        protocol.encode_command(&mut bytes, UpstreamCommand::Begin { read_only, after });
-        let answer = self.exchange(&mut place, &bytes, steps.len()).await?;
+        let restoring = encode_begin(&self.shared, link, &self.state, read_only, after, &mut bytes);
+        let answer = self.exchange(&mut place, &bytes, restoring).await?;
         self.relay(out, &answer);
         self.keep(place, &answer);
         Ok(())
--- a/crates/daemon/src/entry/session_task.rs
+++ b/crates/daemon/src/entry/session_task.rs
@@ -9,7 +9,7 @@
 
 use super::{
     caller_session::{CallerReply, CallerSession},
-    entry_shared::{EntryShared, ShutdownStage},
+    entry_shared::EntryShared,
 };
 use crate::{
     edges::{CallerRefusal, CallerRequest, SessionPhase},
@@ -125,16 +125,8 @@
     let mut idle_until = session.idle_limit().map(|limit| Instant::now() + limit);
     loop {
         let changed = shared.changed.notified();
-        let closes = match shared.stage.get() {
-            ShutdownStage::Serving | ShutdownStage::Leaving => false,
-            ShutdownStage::ClosingIdle => session.is_idle(),
-            ShutdownStage::ClosingAll => true,
-        };
-        if closes && let Some(line) = lines.take_line() {
-            return Ok(Some(line));
-        }
-        if closes {
-            return Ok(None);
+        if shared.closes_session(session.is_idle()) {
+            return Ok(lines.take_line());
         }
         let idle = async {
             match idle_until {
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -314,6 +314,23 @@
     }
 }
 
+/// Appends what restores the session, then the begin of a transaction; returns
+/// how many statements come before it.
+pub(super) fn encode_begin(
+    shared: &EntryShared,
+    link: &mut UpstreamLink,
+    session: &SessionState,
+    read_only: bool,
+    after: Option<LogPosition>,
+    out: &mut Vec<u8>,
+) -> usize {
+    let protocol = &*shared.upstreams;
+    let steps = link.state.restore_values(session);
+    encode_steps(protocol, out, &steps);
+    protocol.encode_command(out, UpstreamCommand::Begin { read_only, after });
+    steps.len()
+}
+
 /// Appends what restores the session, then the statement; returns how many
 /// statements come before it.
 pub(super) fn encode_statement(
--- a/crates/daemon/src/entry/transaction_run.rs
+++ b/crates/daemon/src/entry/transaction_run.rs
@@ -7,16 +7,15 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession, refuse, refuse_no_place, retry_reason},
+    caller_session::{CallerReply, CallerSession, refuse_no_place, retry_reason},
     request_trace::{RequestTrace, TraceStep},
     statement_run::{
-        RunLimits, RunPlace, encode_statement, find_place, pause_busy, roll_back_place, run_at,
+        RunLimits, RunPlace, encode_begin, encode_statement, find_place, pause_busy,
+        roll_back_place, run_at,
     },
-    upstream_link::{AnswerEnd, UpstreamAnswer, encode_steps},
-};
-use crate::edges::{
-    CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
+    upstream_link::{AnswerEnd, UpstreamAnswer},
 };
+use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
 /// Transactions: the first statement picks a connection, which is the
 /// transaction's own until it ends.
@@ -57,7 +56,7 @@
             }
         }
         self.state.transaction = TransactionPhase::Failed;
-        refuse(CallerRefusal::NotRun, "no database had room")
+        CallerReply::Refused(CallerRefusal::NotRun, "no database had room")
     }
 
     /// Begins the transaction at a database; `None` if it did not take it.
@@ -70,18 +69,16 @@
         trace: &mut RequestTrace,
     ) -> Option<RunPlace> {
         let mut out = Vec::new();
-        let steps = place.link.link()?.state.restore_values(&self.state);
-        let protocol = &*self.shared.upstreams;
-        encode_steps(protocol, &mut out, &steps);
         let after = place.after;
-        protocol.encode_command(&mut out, UpstreamCommand::Begin { read_only, after });
+        let link = place.link.link()?;
+        let restoring = encode_begin(&self.shared, link, &self.state, read_only, after, &mut out);
         let key = place.link.record().key.clone();
-        match run_at(&self.shared, &mut place, &out, steps.len(), deadline, trace).await {
+        match run_at(&self.shared, &mut place, &out, restoring, deadline, trace).await {
             Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(place),
             Ok(answer) if answer.phase == SessionPhase::Idle => {
-                let retry = self.should_retry(&place, &answer, tried, deadline);
+                let advice = self.retry_advice(&place, &answer, tried);
                 place.link.release();
-                retry.await;
+                advice.follow(&self.shared, deadline).await;
                 trace.note(
                     self.shared.now(),
                     TraceStep::Retried { reason: retry_reason(answer.end) },
@@ -120,12 +117,12 @@
                     Err(_) if commits && self.wrote => {
                         self.state.transaction = TransactionPhase::Idle;
                         let hint = "the commit was not answered";
-                        return refuse(CallerRefusal::InDoubt, hint);
+                        return CallerReply::Refused(CallerRefusal::InDoubt, hint);
                     }
                     Err(_) if commits => {
                         self.state.transaction = TransactionPhase::Idle;
                         let hint = "the transaction, which wrote nothing, was not committed";
-                        return refuse(CallerRefusal::Aborted, hint);
+                        return CallerReply::Refused(CallerRefusal::Aborted, hint);
                     }
                     Err(_) => return self.abort("the transaction's connection is lost"),
                 };
@@ -167,7 +164,7 @@
                 if committed && self.wrote {
                     if !self.accepts(&service, number) {
                         let hint = "the primary was replaced before it answered";
-                        return refuse(CallerRefusal::InDoubt, hint);
+                        return CallerReply::Refused(CallerRefusal::InDoubt, hint);
                     }
                     self.state.committed(answer.position);
                 }
@@ -178,7 +175,7 @@
 
     fn abort(&mut self, hint: &'static str) -> CallerReply {
         self.state.transaction = TransactionPhase::Failed;
-        refuse(CallerRefusal::Aborted, hint)
+        CallerReply::Refused(CallerRefusal::Aborted, hint)
     }
 
     /// Ends a transaction that waited too long for its next statement.
