Keep control's times in the product, register metrics in one place, do less at rest

The adapter held the election timeout, the heartbeat, the lease and how many announcements may be lost: those are decisions, and ControlSettings::new has them now, unchanged. DaemonMetrics and HostMetrics built the same exporter and page: MetricRegistry. The leader copied what every entry host has applied at each heartbeat, with no primary being replaced; it walked all databases twice. Behaviour as before.

--- a/crates/daemon/src/metrics/daemon_metrics.rs
+++ b/crates/daemon/src/metrics/daemon_metrics.rs
@@ -1,13 +1,12 @@
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::{ResultExt, Snafu};
 
 use hawthornstack_decisions::outcomes::ResultCode;
 
+use super::{MetricsError, metric_registry::MetricRegistry};
+
 /// Names of all metrics with their units, as `docs/METRICS.md` lists them.
 pub const METRIC_NAMES: [(&str, &str); 5] = [
     ("hawthornstack_peer_bytes", "bytes sent to and received from other hosts, by kind"),
@@ -21,18 +20,6 @@
 const TIME_BOUNDS: [f64; 12] =
     [0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0];
 
-/// Why metrics cannot be had.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(super)))]
-pub enum MetricsError {
-    /// The exporter refused.
-    #[snafu(display("metrics cannot be exported: {source}"))]
-    Export {
-        /// What it said.
-        source: opentelemetry_sdk::error::OTelSdkError,
-    },
-}
-
 /// Whether bytes were sent or received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TrafficDirection {
@@ -54,8 +41,7 @@
 /// The instruments of one daemon.
 #[derive(Clone)]
 pub struct DaemonMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricRegistry,
     peer_bytes: Counter<u64>,
     peer_messages: Counter<u64>,
     requests: Counter<u64>,
@@ -75,16 +61,8 @@
     /// # Errors
     /// `MetricsError` if the exporter cannot be built.
     pub fn start() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .without_counter_suffixes()
-            .without_units()
-            .build()
-            .context(ExportSnafu)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hawthornstack");
+        let registry = MetricRegistry::start()?;
+        let meter = registry.meter();
         let counter = |index: usize| {
             let (name, text) = METRIC_NAMES[index];
             meter.u64_counter(name).with_description(text).build()
@@ -102,7 +80,6 @@
             dispatches: counter(3),
             request_seconds,
             registry,
-            _provider: provider,
         })
     }
 
@@ -127,9 +104,6 @@
 
     /// All metrics in the Prometheus text form.
     pub fn page(&self) -> String {
-        let mut bytes = Vec::new();
-        // Writing text to memory does not fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        String::from_utf8(bytes).unwrap_or_default()
+        self.registry.page()
     }
 }
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -1,12 +1,9 @@
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::ResultExt;
 
-use super::{MetricsError, daemon_metrics::ExportSnafu};
+use super::{MetricsError, metric_registry::MetricRegistry};
 
 /// Names of the metrics of entry and control hosts with their meaning and
 /// units, as `docs/METRICS.md` lists them.
@@ -38,8 +35,7 @@
 /// The instruments of an entry or control host.
 #[derive(Clone)]
 pub struct HostMetrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricRegistry,
     statements: Counter<u64>,
     statement_seconds: Histogram<f64>,
     stage_seconds: Histogram<f64>,
@@ -78,16 +74,8 @@
     /// # Errors
     /// `MetricsError` if the exporter cannot be built.
     pub fn start() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .without_counter_suffixes()
-            .without_units()
-            .build()
-            .context(ExportSnafu)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hawthornstack");
+        let registry = MetricRegistry::start()?;
+        let meter = registry.meter();
         let gauges = [
             "hawthornstack_sessions",
             "hawthornstack_upstream_connections",
@@ -114,7 +102,6 @@
             left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
             registry,
-            _provider: provider,
         })
     }
 
@@ -160,9 +147,6 @@
 
     /// All metrics in the Prometheus text form.
     pub fn page(&self) -> String {
-        let mut bytes = Vec::new();
-        // Writing text to memory does not fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        String::from_utf8(bytes).unwrap_or_default()
+        self.registry.page()
     }
 }
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -25,6 +25,17 @@
 /// kept: this many of the largest allowed size fit a small host's memory.
 const COMPACTION_ENTRIES: usize = 64;
 
+/// Silence of control's leader before an election: many times the way between
+/// data centres, and short beside an entry host's lease.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between the leader's heartbeats: four fit an election timeout.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(75);
+/// Lease of an entry host: it serves this long without control, and a change
+/// of primary waits this long for a host that is cut off.
+const ENTRY_LEASE: Duration = Duration::from_millis(3_500);
+/// Announcements in a row that may stay away before a database is forgotten.
+const LOST_ANNOUNCEMENTS: u32 = 10;
+
 /// What a control host is told at its start.
 #[derive(Debug, Clone)]
 pub struct ControlSettings {
@@ -46,6 +57,29 @@
     pub seed: u64,
 }
 
+impl ControlSettings {
+    /// Settings with the product's own times, where databases announce
+    /// themselves each `announcement_interval`.
+    pub fn new(
+        me: HostId,
+        seeds: BTreeSet<HostId>,
+        bootstrap: bool,
+        announcement_interval: Duration,
+        seed: u64,
+    ) -> Self {
+        Self {
+            me,
+            seeds,
+            bootstrap,
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            lease: ENTRY_LEASE,
+            announcement_lifetime: announcement_interval * LOST_ANNOUNCEMENTS,
+            seed,
+        }
+    }
+}
+
 /// What a control host knows of an entry host.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct EntryProgress {
--- a/crates/decisions/src/control_host/directory_flow.rs
+++ b/crates/decisions/src/control_host/directory_flow.rs
@@ -2,7 +2,7 @@
 use crate::{
     clock::Moment,
     control::ControlCommand,
-    instances::{DirectoryChange, InstanceDeparture, InstanceRecord},
+    instances::{DirectoryChange, InstanceDeparture, InstanceRecord, InstanceRole},
 };
 
 impl ControlHost {
@@ -83,8 +83,8 @@
     fn note_instance(&mut self, record: &InstanceRecord) {
         let what = match (record.draining, record.role) {
             (true, _) => "is draining",
-            (false, crate::instances::InstanceRole::Primary) => "serves as primary",
-            (false, crate::instances::InstanceRole::Replica) => "serves as replica",
+            (false, InstanceRole::Primary) => "serves as primary",
+            (false, InstanceRole::Replica) => "serves as replica",
         };
         let key = record.key.clone();
         self.effects.push(ControlEffect::Note(ControlNote::Instance { key, what }));
--- a/crates/decisions/src/control_host/term_flow.rs
+++ b/crates/decisions/src/control_host/term_flow.rs
@@ -83,8 +83,6 @@
                     primary: record.key.clone(),
                 });
             }
-        }
-        for record in self.directory.records() {
             let known = self.control.instances.get(&record.key.id);
             if known.is_none_or(|known| !known.says_the_same(record)) {
                 wanted.push(ControlCommand::InstanceSeen(record.clone()));
@@ -156,6 +154,11 @@
     }
 
     fn drive_changes(&mut self, now: Moment) {
+        if self.control.terms.values().all(ServiceTerm::is_steady) {
+            // At rest, as nearly always; this runs at every heartbeat.
+            self.notes.iter_mut().for_each(|notes| notes.changes.clear());
+            return;
+        }
         let Some(mut notes) = self.notes.take() else {
             return;
         };
