Count reads by the role of their database

docs/METRICS.md lists hawthornstack_reads and the code could count it, but nothing did. The whole path's test asks for it now and failed before. Checked: linter without warnings, the platform's tests over loopback pass.

--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -122,6 +122,9 @@
                     link.release();
                     continue;
                 }
+                if !limits.writes {
+                    shared.metrics.count_read(number.is_some());
+                }
                 let guard = number.map(|number| shared.begin_write(service, number));
                 let guard = guard.filter(|_| limits.writes);
                 return Ok(RunPlace {
