Elect a leader at once when every voter says that nobody leads

Cause: a voter that has just started gives no vote for one election timeout, since a leader's lease may count on it. Ruled out: shorter election timeouts (tried before: elections at slow disks), a time on disk (a loss of power loses it, and the time of day may jump). Change: a voter asks all others after its start; once all that any of them names as a voter say that they neither lead nor follow, it votes at once.

--- a/crates/decisions/src/agreement/agreement_message.rs
+++ b/crates/decisions/src/agreement/agreement_message.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::{LogEntry, StateSnapshot};
-use crate::clock::Moment;
+use crate::{clock::Moment, identity::HostId};
 
 /// Asks for a vote, or whether one would be given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +66,17 @@
     pub sent_at: Moment,
 }
 
+/// Answers a voter that has just started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InquiryReply {
+    /// Echo of the question's number.
+    pub number: u64,
+    /// The host neither leads nor heard from a leader a moment ago.
+    pub knows_no_leader: bool,
+    /// The newest voters that it knows of.
+    pub voters: BTreeSet<HostId>,
+}
+
 /// Messages between voters.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AgreementMessage {
@@ -71,6 +84,13 @@
     Vote(VoteRequest),
     /// Answers a vote.
     VoteReply(VoteReply),
+    /// A voter that has just started asks whether anyone leads.
+    Inquiry {
+        /// Differs at every start.
+        number: u64,
+    },
+    /// Answers an inquiry.
+    InquiryReply(InquiryReply),
     /// Replicates entries.
     Append(AppendMessage),
     /// Answers an append or a snapshot.
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -9,7 +9,7 @@
 
 use super::{
     AdmittedVoter, AgreementEffect, AgreementEvent, AgreementMessage, EntryLog, EntryPayload,
-    HardState, JournalRecord, LogEntry, StateSnapshot,
+    HardState, JournalRecord, LogEntry, StateSnapshot, start_inquiry::StartInquiry,
 };
 use crate::{
     clock::Moment,
@@ -93,7 +93,10 @@
     pub(super) commit: u64,
     pub(super) role: AgreementRole,
     pub(super) leader: Option<HostId>,
-    pub(super) leader_heard_at: Moment,
+    /// Until when it gives no vote: a leader's lease may count on it.
+    pub(super) abstains_until: Moment,
+    /// Questions after the start, until they are settled.
+    pub(super) inquiry: Option<StartInquiry>,
     pub(super) election_due: Moment,
     pub(super) synced_index: u64,
     unsynced: VecDeque<(u64, u64)>,
@@ -109,7 +112,8 @@
     /// Rebuilds a voter from its journal; an empty journal is an empty disk.
     ///
     /// The voter does not vote for one election timeout after `now`, since it
-    /// may have heard from a leader just before it stopped.
+    /// may have heard from a leader just before it stopped, unless all voters
+    /// tell it that nobody leads.
     pub fn restore(
         me: HostId,
         settings: AgreementSettings,
@@ -141,7 +145,8 @@
             log,
             role: AgreementRole::Follower,
             leader: None,
-            leader_heard_at: now,
+            abstains_until: now,
+            inquiry: None,
             election_due: now,
             unsynced: VecDeque::new(),
             persist_number: 0,
@@ -157,7 +162,14 @@
         }
         // Nobody is known to lead: the host asks as soon as it may vote itself.
         let spread = state.settings.election_timeout / 4;
-        state.election_due = now + state.settings.election_timeout + state.jittered(spread);
+        state.abstains_until = now + state.settings.election_timeout;
+        state.election_due = state.abstains_until + state.jittered(spread);
+        if state.hard.eligible && state.log.voters().contains(&me) {
+            let number = state.rng.random();
+            let voters = state.log.voters().clone();
+            let ends_at = state.abstains_until;
+            state.inquiry = Some(StartInquiry::new(number, now, ends_at, voters));
+        }
         state
     }
 
@@ -244,7 +256,7 @@
     pub fn next_due(&self) -> Moment {
         match &self.role {
             AgreementRole::Leader(leader) => leader.heartbeat_due,
-            _ => self.election_due,
+            _ => self.inquiry.iter().map(StartInquiry::due).fold(self.election_due, Moment::min),
         }
     }
 
@@ -355,6 +367,12 @@
         Duration::from_micros(self.rng.random_range(shortest..2 * shortest))
     }
 
+    /// A random time up to `longest`.
+    pub(super) fn spread(&mut self, longest: Duration) -> Duration {
+        let longest = longest.as_micros() as u64;
+        Duration::from_micros(self.rng.random_range(0..=longest))
+    }
+
     pub(super) fn change_hard(&mut self, change: impl FnOnce(&mut HardState)) {
         let before = self.hard;
         change(&mut self.hard);
--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -11,6 +11,7 @@
 
 impl AgreementState {
     pub(super) fn tick(&mut self, now: Moment) {
+        self.tend_inquiry(now);
         match &self.role {
             AgreementRole::Leader(leader) => {
                 let silent = now.since(self.quorum_contact(leader, now).max(leader.elected_at));
@@ -87,8 +88,8 @@
     }
 
     fn would_grant(&self, now: Moment, from: HostId, request: &VoteRequest) -> bool {
-        let heard_recently = now.since(self.leader_heard_at) < self.settings.election_timeout;
-        if heard_recently || self.is_leader() || request.forming == self.hard.eligible {
+        let abstains = now < self.abstains_until;
+        if abstains || self.is_leader() || request.forming == self.hard.eligible {
             return false;
         }
         if request.forming && self.log.last_index() > 0 {
--- a/crates/decisions/src/agreement/mod.rs
+++ b/crates/decisions/src/agreement/mod.rs
@@ -10,9 +10,12 @@
 mod entry_log;
 mod journal_record;
 mod replication;
+mod start_inquiry;
 
 pub use agreement_effect::{AgreementEffect, AgreementEvent};
-pub use agreement_message::{AgreementMessage, AppendMessage, AppendReply, VoteReply, VoteRequest};
+pub use agreement_message::{
+    AgreementMessage, AppendMessage, AppendReply, InquiryReply, VoteReply, VoteRequest,
+};
 pub use agreement_state::{AgreementSettings, AgreementState, COMPACTION_ENTRIES, ProposeError};
 pub use entry_log::EntryLog;
 pub use journal_record::{
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -35,6 +35,8 @@
         match message {
             AgreementMessage::Vote(request) => self.receive_vote(now, from, request),
             AgreementMessage::VoteReply(reply) => self.receive_vote_reply(now, from, reply),
+            AgreementMessage::Inquiry { number } => self.receive_inquiry(now, from, number),
+            AgreementMessage::InquiryReply(reply) => self.receive_inquiry_reply(now, from, reply),
             AgreementMessage::Append(append) => self.receive_append(now, from, append),
             AgreementMessage::AppendReply(reply) => self.receive_append_reply(now, from, reply),
             AgreementMessage::InstallSnapshot { term, snapshot, sent_at } => {
@@ -98,7 +100,8 @@
         }
         self.leave_role(now);
         self.leader = Some(from);
-        self.leader_heard_at = now;
+        self.inquiry = None;
+        self.abstains_until = now + self.settings.election_timeout;
         self.reset_election(now);
         true
     }
--- /dev/null
+++ b/crates/decisions/tests/control_restart.rs
@@ -0,0 +1,113 @@
+//! Control hosts that start again: at once if nobody can lead, and never before
+//! the lease of a leader that may still lead.
+
+mod control_world;
+
+use std::time::Duration;
+
+use control_world::ControlWorld;
+use hawthornstack_decisions::identity::HostId;
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(5);
+/// The election timeout of `ControlWorld`.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+
+fn settled_world(hosts: u32) -> (ControlWorld, HostId) {
+    let mut world = ControlWorld::start(hosts);
+    world.run(3 * SECOND);
+    assert!(world.replace(5, SECOND));
+    let leader = world.leader().expect("a leader");
+    (world, leader)
+}
+
+/// Hosts that lead and can prove it.
+fn leaders(world: &ControlWorld) -> usize {
+    let leads = |id: &&HostId| world.host(**id).is_some_and(|host| host.is_current(world.now));
+    world.hosts.keys().filter(leads).count()
+}
+
+#[test]
+fn leader_is_found_at_once_after_all_were_lost() {
+    for hosts in [3, 5] {
+        let (mut world, _) = settled_world(hosts);
+        for id in 1..=hosts {
+            world.kill(HostId(id));
+        }
+        world.run(SECOND);
+        for id in 1..=hosts {
+            world.boot(HostId(id), false);
+            world.run(STEP);
+        }
+        world.run(ELECTION_TIMEOUT / 3);
+        assert!(world.leader().is_some(), "{hosts} hosts");
+        assert!(world.replace(6, SECOND));
+    }
+}
+
+#[test]
+fn hosts_that_start_one_after_the_other_find_a_leader() {
+    let (mut world, _) = settled_world(3);
+    for id in 1..=3 {
+        world.kill(HostId(id));
+    }
+    world.run(SECOND);
+    for id in 1..=3 {
+        world.boot(HostId(id), false);
+        world.run(Duration::from_millis(150));
+    }
+    world.run(ELECTION_TIMEOUT / 3);
+    assert!(world.leader().is_some());
+}
+
+#[test]
+fn restarted_host_follows_the_leader_that_stayed() {
+    for other in 1..=3 {
+        let (mut world, leader) = settled_world(3);
+        if HostId(other) == leader {
+            continue;
+        }
+        world.kill(HostId(other));
+        world.boot(HostId(other), false);
+        world.run(SECOND);
+        assert_eq!(world.leader(), Some(leader));
+    }
+}
+
+/// The leader reaches only the restarted host, which no longer reaches it: the
+/// third host asks for votes, and may get one only after the leader's lease.
+#[test]
+fn restarted_host_abstains_while_a_leader_may_count_on_it() {
+    let (mut world, leader) = settled_world(3);
+    let others: Vec<HostId> = (1..=3).map(HostId).filter(|id| *id != leader).collect();
+    let (restarted, candidate) = (others[0], others[1]);
+    world.isolate(leader, &[candidate], true);
+    world.run(2 * ELECTION_TIMEOUT);
+    assert_eq!(world.leader(), Some(leader));
+    world.kill(restarted);
+    world.isolate(leader, &[restarted], true);
+    world.boot(restarted, false);
+    let booted = world.now;
+    while world.now.since(booted) < 4 * ELECTION_TIMEOUT {
+        world.run(STEP);
+        assert!(leaders(&world) <= 1, "two leaders {:?} after the start", world.now.since(booted));
+    }
+    assert_ne!(world.leader(), Some(leader));
+    assert!(world.leader().is_some());
+}
+
+/// The same while the restarted host hears that the leader still leads.
+#[test]
+fn restarted_host_believes_the_leader() {
+    let (mut world, leader) = settled_world(3);
+    let others: Vec<HostId> = (1..=3).map(HostId).filter(|id| *id != leader).collect();
+    world.isolate(leader, &[others[1]], true);
+    world.run(2 * ELECTION_TIMEOUT);
+    world.kill(others[0]);
+    world.boot(others[0], false);
+    for _ in 0..400 {
+        world.run(STEP);
+        assert_eq!(world.leader(), Some(leader));
+        assert_eq!(leaders(&world), 1);
+    }
+}
