Carry out no decision of long ago when a control host replays its log

A promotion of an earlier change was ordered again, which with two changes in the log leads past the present primary; entry hosts were sent up to 64 old configurations. Ruled out: a guard in the calls to the platform alone (entry hosts would still get old states). Change: commands that are applied in one step are settled together at its end: one state for entry hosts, one line a subject in the log, then the leader's work. A wiped host no longer says that it follows a leader, which made the others wait.

--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -95,6 +95,8 @@
     pub(super) leader: Option<HostId>,
     /// Until when it gives no vote: a leader's lease may count on it.
     pub(super) abstains_until: Moment,
+    /// A leader was heard since the start.
+    pub(super) heard_leader: bool,
     /// Questions after the start, until they are settled.
     pub(super) inquiry: Option<StartInquiry>,
     pub(super) election_due: Moment,
@@ -146,6 +148,7 @@
             role: AgreementRole::Follower,
             leader: None,
             abstains_until: now,
+            heard_leader: false,
             inquiry: None,
             election_due: now,
             unsynced: VecDeque::new(),
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -101,6 +101,7 @@
         self.leave_role(now);
         self.leader = Some(from);
         self.inquiry = None;
+        self.heard_leader = true;
         self.abstains_until = now + self.settings.election_timeout;
         self.reset_election(now);
         true
--- a/crates/decisions/src/agreement/start_inquiry.rs
+++ b/crates/decisions/src/agreement/start_inquiry.rs
@@ -61,10 +61,10 @@
 
     /// Says whether this host leads or follows a leader.
     pub(super) fn receive_inquiry(&mut self, now: Moment, from: HostId, number: u64) {
-        let heard_none = self.inquiry.is_some() || now >= self.abstains_until;
+        let follows = self.heard_leader && now < self.abstains_until;
         let reply = InquiryReply {
             number,
-            knows_no_leader: heard_none && !self.is_leader(),
+            knows_no_leader: !follows && !self.is_leader(),
             voters: self.log.voters().clone(),
         };
         self.send(from, AgreementMessage::InquiryReply(reply));
--- a/crates/decisions/src/control_host/control_host_state.rs
+++ b/crates/decisions/src/control_host/control_host_state.rs
@@ -104,6 +104,18 @@
     pub(super) survey_due: Moment,
 }
 
+/// What applied commands changed and nobody was told yet.
+#[derive(Debug, Default)]
+struct UnsettledChange {
+    /// The leader may have something to do.
+    any: bool,
+    /// Entry hosts follow at least one of the commands.
+    for_entries: bool,
+    routes: bool,
+    /// Services whose terms changed.
+    services: BTreeSet<Arc<str>>,
+}
+
 /// All that one control host knows and decides.
 #[derive(Debug)]
 pub struct ControlHost {
@@ -119,6 +131,8 @@
     pub(super) packed: Option<Arc<PackedRoutes>>,
     /// Index of the last command that entry hosts follow.
     pub(super) entry_index: u64,
+    /// What the commands of this step changed.
+    unsettled: UnsettledChange,
     pub(super) effects: Vec<ControlEffect>,
 }
 
@@ -152,6 +166,7 @@
             notes: None,
             orders: Vec::new(),
             packed: None,
+            unsettled: UnsettledChange::default(),
             effects: Vec::new(),
             settings,
         };
@@ -182,6 +197,9 @@
             }
             ControlEvent::Ordered { ticket, order } => self.ordered(now, ticket, order),
         }
+        while self.unsettled.any {
+            self.settle(now);
+        }
         std::mem::take(&mut self.effects)
     }
 
@@ -308,24 +326,41 @@
         self.carry_out(now, effects);
     }
 
-    /// Tells entry hosts and the log what a command changed.
+    /// Notes what a command changed. Acting on it waits until all that is
+    /// committed is applied: a host that starts again applies its whole log at
+    /// once, and decisions of long ago must not be carried out again.
     fn applied(&mut self, now: Moment, index: u64, command: &ControlCommand) {
+        self.unsettled.any = true;
         match command {
-            ControlCommand::RoutesReplaced { .. } => {
-                let version = self.control.routes_version();
-                self.effects.push(ControlEffect::Note(ControlNote::Routes(version)));
-            }
+            ControlCommand::RoutesReplaced { .. } => self.unsettled.routes = true,
             ControlCommand::ServicePrimaryKnown { service, .. }
             | ControlCommand::ServiceTermEnded { service, .. }
             | ControlCommand::ServicePrimaryChosen { service, .. }
-            | ControlCommand::ServiceTermStarted { service, .. } => self.note_term(service),
+            | ControlCommand::ServiceTermStarted { service, .. } => {
+                self.unsettled.services.insert(service.clone());
+            }
             ControlCommand::InstanceSeen(record) => {
-                return self.announced_elsewhere(now, vec![record.clone()]);
+                self.learn_instances(now, vec![record.clone()]);
+                return;
             }
             _ => return,
         }
         self.entry_index = index;
-        self.push_state();
+        self.unsettled.for_entries = true;
+    }
+
+    /// Tells entry hosts and the log what the applied commands changed, and goes
+    /// on from there.
+    fn settle(&mut self, now: Moment) {
+        let change = std::mem::take(&mut self.unsettled);
+        if change.routes {
+            let version = self.control.routes_version();
+            self.effects.push(ControlEffect::Note(ControlNote::Routes(version)));
+        }
+        change.services.iter().for_each(|service| self.note_term(service));
+        if change.for_entries {
+            self.push_state();
+        }
         self.lead(now);
     }
 
--- a/crates/decisions/src/control_host/directory_flow.rs
+++ b/crates/decisions/src/control_host/directory_flow.rs
@@ -26,14 +26,22 @@
     }
 
     pub(super) fn announced_elsewhere(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+        if self.learn_instances(now, records) {
+            self.lead(now);
+        }
+    }
+
+    /// Takes what is known of databases, and says whether any of it was news.
+    pub(super) fn learn_instances(&mut self, now: Moment, records: Vec<InstanceRecord>) -> bool {
         let changed: Vec<InstanceRecord> = records
             .into_iter()
             .filter(|record| self.directory.announce(now, record) == DirectoryChange::Changed)
             .collect();
-        if !changed.is_empty() {
+        let any = !changed.is_empty();
+        if any {
             self.update_entries(EntryUpdate::Announced(changed));
-            self.lead(now);
         }
+        any
     }
 
     /// Looks for databases where they were before this host restarted, until
--- a/crates/decisions/tests/control_restart.rs
+++ b/crates/decisions/tests/control_restart.rs
@@ -45,6 +45,19 @@
     }
 }
 
+#[test]
+fn host_without_its_disk_does_not_hold_the_others_up() {
+    for wiped in 1..=3 {
+        let (mut world, _) = settled_world(3);
+        (1..=3).for_each(|id| world.kill(HostId(id)));
+        world.wipe(HostId(wiped));
+        world.run(SECOND);
+        (1..=3).for_each(|id| world.boot(HostId(id), false));
+        world.run(ELECTION_TIMEOUT / 3);
+        assert!(world.leader().is_some_and(|leader| leader != HostId(wiped)));
+    }
+}
+
 #[test]
 fn hosts_that_start_one_after_the_other_find_a_leader() {
     let (mut world, _) = settled_world(3);
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -176,3 +176,44 @@
     let directory = world.host(leader).expect("a host").directory();
     assert_eq!(directory.of_service("books").count(), 3);
 }
+
+/// Replays of the log after a loss of all control hosts must not carry out its
+/// decisions again: an older one would lead past the present primary.
+#[test]
+fn old_promotions_are_not_repeated_after_a_restart_of_all() {
+    let (mut world, leader) = served_world(&[FIRST]);
+    for number in 1..=2 {
+        let report =
+            EntryReport::PrimaryReachable { service: "books".into(), number, reachable: false };
+        world.event(leader, ControlEvent::Entry(FIRST, report));
+        world.run(SECOND / 100);
+        world.renew(leader, FIRST);
+        world.run(SECOND);
+        let term = term(&world, leader);
+        assert!(term.is_steady());
+        assert_eq!(term.number, number + 1);
+        let old = world.instances.values_mut().filter(|record| record.key != term.primary);
+        old.for_each(|record| record.role = InstanceRole::Replica);
+    }
+    let promoted = world.promoted.clone();
+    assert_eq!(promoted.len(), 2);
+    for id in [1, 2, 3] {
+        world.kill(HostId(id));
+    }
+    world.run(SECOND);
+    world.updates.clear();
+    for id in [1, 2, 3] {
+        world.boot(HostId(id), false);
+        world.event(HostId(id), ControlEvent::EntryLinked(FIRST));
+    }
+    world.run(2 * SECOND);
+    let leader = world.leader().expect("a leader");
+    assert_eq!(term(&world, leader).number, 3);
+    assert_eq!(world.promoted, promoted);
+    // Entry hosts are told the newest state alone.
+    let old_state = |update: &EntryUpdate| match update {
+        EntryUpdate::State { terms, .. } => terms.iter().any(|term| term.number < 3),
+        _ => false,
+    };
+    assert!(!world.updates.iter().any(|(_, update)| old_state(update)));
+}
