--- a/crates/daemon/src/control/control_service.rs
+++ b/crates/daemon/src/control/control_service.rs
@@ -9,8 +9,8 @@
 
 use hawthornstack_decisions::{
     control_host::{
-        ControlEffect, ControlEvent, ControlHost, ControlMessage, ControlNote, ControlSettings,
-        EntryUpdate, OperatorOrder, OrderAnswer,
+        ControlEffect, ControlEvent, ControlHost, ControlNote, ControlSettings, EntryUpdate,
+        OperatorOrder, OrderAnswer,
     },
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
@@ -22,7 +22,7 @@
 
 use super::{
     journal_thread::JournalThread,
-    peer_links::{LinkEvent, accept_links, dial_peer},
+    peer_links::{LinkEvent, PeerDialler, accept_links},
     status_question::StatusQuestion,
 };
 use crate::{
@@ -102,6 +102,7 @@
 ) -> Result<ControlHandle, KernelError> {
     let (persisted, journal_events) = mpsc::unbounded_channel();
     let (journal, records) = JournalThread::open(&options.data_folder, persisted)?;
+    tracing::info!(target: "journal", records = records.len(), "journal read");
     let address = host_address(options.decisions.me, options.link_port);
     let listener =
         bind_listener(address).map_err(|source| KernelError::Listen { address, source })?;
@@ -151,7 +152,7 @@
     journal: JournalThread,
     upstreams: Rc<dyn UpstreamProtocol>,
     promotions: Rc<dyn PromotionEdge>,
-    peers: HashMap<HostId, mpsc::Sender<ControlMessage>>,
+    peers: HashMap<HostId, PeerDialler>,
     entries: HashMap<HostId, (u64, mpsc::Sender<EntryUpdate>)>,
     orders: BTreeMap<u64, oneshot::Sender<OrderAnswer>>,
     next_ticket: u64,
@@ -197,7 +198,14 @@
 
     fn take_link_event(&mut self, event: LinkEvent) {
         match event {
-            LinkEvent::Control(event) => self.step(event),
+            LinkEvent::Control(event) => {
+                if let ControlEvent::PeerLinked(host) = &event
+                    && let Some(peer) = self.peers.get(host)
+                {
+                    peer.note_reached();
+                }
+                self.step(event);
+            }
             LinkEvent::EntryOpened(host, number, queue) => {
                 self.entries.insert(host, (number, queue));
                 self.step(ControlEvent::EntryLinked(host));
@@ -246,10 +254,10 @@
         match effect {
             ControlEffect::Dial(peer) => {
                 let (me, port) = (self.options.decisions.me, self.options.link_port);
-                self.peers.entry(peer).or_insert_with(|| dial_peer(me, peer, port));
+                self.peers.entry(peer).or_insert_with(|| PeerDialler::start(me, peer, port));
             }
             ControlEffect::SendPeer(to, message) => {
-                let full = self.peers.get(&to).is_some_and(|q| q.try_send(message).is_err());
+                let full = self.peers.get(&to).is_some_and(|peer| !peer.send(message));
                 if full {
                     tracing::debug!(target: "control", peer = %to, "message dropped, queue full");
                 }
--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, io, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use hawthornstack_decisions::{
     control_host::{ControlEvent, ControlMessage, EntryUpdate, LinkFrame, LinkRole},
@@ -6,14 +6,14 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{Notify, mpsc},
     time::{sleep, timeout},
 };
 
 use crate::links::{FrameReader, FrameWriter, accept_each, accept_link, host_address, open_link};
 
 /// Pause before a control host is dialled again.
-const REDIAL_PAUSE: Duration = Duration::from_millis(200);
+const REDIAL_PAUSE: Duration = Duration::from_millis(100);
 /// Messages that may wait for a control host; more are dropped, since the
 /// protocol between voters repeats what matters.
 const PEER_QUEUE: usize = 512;
@@ -34,19 +34,44 @@
     EntryClosed(HostId, u64),
 }
 
-/// Sends messages to one control host over a link that is kept up.
-pub(super) fn dial_peer(me: HostId, peer: HostId, port: u16) -> mpsc::Sender<ControlMessage> {
-    let (queue, mut messages) = mpsc::channel(PEER_QUEUE);
-    tokio::task::spawn_local(async move {
-        while !messages.is_closed() {
-            if let Err(error) = send_messages(me, peer, port, &mut messages).await {
-                tracing::debug!(target: "control", %peer, %error, "link to control host closed");
+/// The way to one control host.
+pub(super) struct PeerDialler {
+    queue: mpsc::Sender<ControlMessage>,
+    reached: Rc<Notify>,
+}
+
+impl PeerDialler {
+    /// Keeps a link up.
+    pub(super) fn start(me: HostId, peer: HostId, port: u16) -> Self {
+        let (queue, mut messages) = mpsc::channel(PEER_QUEUE);
+        let reached = Rc::new(Notify::new());
+        let peer_reached = reached.clone();
+        tokio::task::spawn_local(async move {
+            while !messages.is_closed() {
+                let result = send_messages(me, peer, port, &mut messages, &peer_reached).await;
+                if let Err(error) = result {
+                    tracing::debug!(target: "control", %peer, %error, "link to control host closed");
+                }
+                while messages.try_recv().is_ok() {}
+                tokio::select! {
+                    () = sleep(REDIAL_PAUSE) => {}
+                    () = peer_reached.notified() => {}
+                }
             }
-            while messages.try_recv().is_ok() {}
-            sleep(REDIAL_PAUSE).await;
-        }
-    });
-    queue
+        });
+        Self { queue, reached }
+    }
+
+    /// Sends a message; false if too many wait.
+    pub(super) fn send(&self, message: ControlMessage) -> bool {
+        self.queue.try_send(message).is_ok()
+    }
+
+    /// The host has just opened a link here, so that it can be reached: an
+    /// attempt that waits for it starts anew.
+    pub(super) fn note_reached(&self) {
+        self.reached.notify_waiters();
+    }
 }
 
 async fn send_messages(
@@ -54,8 +79,13 @@
     peer: HostId,
     port: u16,
     messages: &mut mpsc::Receiver<ControlMessage>,
+    reached: &Notify,
 ) -> io::Result<()> {
-    let (mut reader, mut writer) = open_link(host_address(peer, port)).await?;
+    let address = host_address(peer, port);
+    let (mut reader, mut writer) = tokio::select! {
+        opened = open_link(address) => opened?,
+        () = reached.notified() => open_link(address).await?,
+    };
     writer.send(&LinkFrame::Hello { role: LinkRole::Control, host: me }).await?;
     loop {
         tokio::select! {
--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -25,8 +25,9 @@
 const LEADER_SILENCE: Duration = Duration::from_millis(1_200);
 /// Silence after which any link is opened anew.
 const LINK_SILENCE: Duration = Duration::from_secs(5);
-/// Pause before a control host is dialled again.
-const REDIAL_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a control host is dialled again: callers wait for the first
+/// control host that is back after a loss of all.
+const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for writes to end before a planned change of primary goes on.
 const PLANNED_DRAIN: Duration = Duration::from_millis(400);
 
--- a/crates/daemon/src/links/frame_link.rs
+++ b/crates/daemon/src/links/frame_link.rs
@@ -16,8 +16,10 @@
 
 /// Largest frame, in bytes: a whole state with the longest configuration.
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
-/// Time for a connection between two hosts.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a connection between two hosts: twice the round trip between
+/// regions. A host without power does not answer, and TCP itself would ask it
+/// again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Silence after which a host is taken for gone; below the election timeout's
 /// double, so that a new leader is not waited for on a dead connection.
 const PEER_SILENCE: Duration = Duration::from_millis(1_500);
