--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -29,6 +29,12 @@
 /// Connections of one home: enough for a few open transactions beside the
 /// statements that run.
 const HOME_CONNECTIONS: u32 = 3;
+/// Most homes of one database: every connection costs it a handshake, and few
+/// hosts keep the same connections busier.
+const MOST_HOMES: u32 = 8;
+/// Most hosts that connect to one database without homes: twice as many
+/// handshakes are cheaper than a second host on the way.
+const MOST_DIRECT_HOSTS: u32 = 2 * MOST_HOMES;
 
 /// How a host reaches a database.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -164,14 +170,17 @@
     /// How a host connects to a database, where `connections` may be opened by
     /// all hosts together.
     ///
-    /// With too few connections for every host to have a home's number, some
+    /// With too few connections for every host to have a home's number, or with
+    /// more hosts than a database should have to take handshakes from, some
     /// hosts are the database's homes: they alone connect to it, and the others
     /// send their statements there.
     pub fn path_to(&self, me: HostId, instance: &str, connections: u32) -> DatabasePath {
-        if connections >= HOME_CONNECTIONS * self.entry_hosts || self.homes.is_empty() {
-            return DatabasePath::Direct { connections: connections / self.entry_hosts };
+        let hosts = self.entry_hosts;
+        let for_all = connections >= HOME_CONNECTIONS * hosts && hosts <= MOST_DIRECT_HOSTS;
+        if for_all || self.homes.is_empty() {
+            return DatabasePath::Direct { connections: connections / hosts };
         }
-        let homes = (connections / HOME_CONNECTIONS).max(1);
+        let homes = (connections / HOME_CONNECTIONS).clamp(1, MOST_HOMES);
         let mut ranked = rank_hosts(instance.as_bytes(), self.homes.iter().copied());
         ranked.truncate(homes as usize);
         if ranked.contains(&me) {
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -186,3 +186,15 @@
     assert_eq!(preferred.len(), 6);
     assert!(preferred.values().all(|hosts| (3..=16).contains(hosts)), "{preferred:?}");
 }
+
+/// After a loss of power all hosts connect at once, and each handshake takes a
+/// slot: with 71 hosts of 2 connections each, 142 of them.
+#[test]
+fn many_hosts_leave_a_database_few_handshakes() {
+    let view = crowd(71);
+    let paths: Vec<DatabasePath> = (1..=71).map(|me| path(&view, me, 1_000)).collect();
+    let connects = |path: &&DatabasePath| matches!(path, DatabasePath::Direct { .. });
+    assert_eq!(paths.iter().filter(connects).count(), 8);
+    let view = crowd(16);
+    assert!((1..=16).all(|me| path(&view, me, 48) == DatabasePath::Direct { connections: 3 }));
+}
