Tell homes how urgent a statement is, leave slow homes, read elsewhere what failed

Change: a line before the statement says priority, objective and time waited; of the first two homes in a host's order the clearly faster one is taken, one without a free connection comes last; reads that failed are tried once at each other database, and a database that fails part of its work is dearer for some seconds.

--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hawthornstack_decisions::{
@@ -8,6 +8,20 @@
 
 use super::{CallerStatement, MalformedRequest, SessionPhase};
 
+/// How urgent a forwarded statement is, so that its home can order it among
+/// others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ForwardUrgency {
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Time within which its answer is best given.
+    pub objective: Duration,
+    /// Time for which it has waited.
+    pub waited: Duration,
+    /// Longest time to wait for a connection of the home.
+    pub patience: Duration,
+}
+
 /// What is sent to a database.
 #[derive(Debug, Clone, Copy)]
 pub enum UpstreamCommand<'a> {
@@ -68,6 +82,8 @@
     },
     /// Asks for role, term and position.
     Status,
+    /// To a home: how urgent the statement after this is. Has no answer.
+    Urgency(ForwardUrgency),
 }
 
 /// What another entry host sends for one of its callers, as its home reads it.
@@ -96,6 +112,8 @@
     },
     /// Clears values and prepared statements.
     Reset,
+    /// How urgent the next statement is; not answered.
+    Urgency(ForwardUrgency),
 }
 
 /// Why a database did not give a result.
@@ -113,6 +131,8 @@
     Misrouted,
     /// Too many connections.
     ConnectionLimit,
+    /// It ran and failed.
+    Failed,
     /// Any other code; callers get it as it is.
     Other,
 }
@@ -127,6 +147,7 @@
             Self::ReadOnly => "read only",
             Self::Misrouted => "misrouted",
             Self::ConnectionLimit => "connection limit",
+            Self::Failed => "failed",
             Self::Other => "refused by the database",
         }
     }
--- a/crates/daemon/src/entry/caller_session.rs
+++ b/crates/daemon/src/entry/caller_session.rs
@@ -284,6 +284,7 @@
     ) -> AttemptEnd {
         let mut out = Vec::with_capacity(statement.text.len() + 64);
         let after = place.after;
+        place.encode_urgency(&self.shared, &mut out);
         let Some(link) = place.link.link() else {
             return AttemptEnd::Again;
         };
@@ -316,7 +317,7 @@
             let hint = "the database's connection is in an unknown state";
             return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::InDoubt, hint));
         }
-        let advice = self.retry_advice(&place, &answer, tried);
+        let advice = self.retry_advice(&place, &answer, !limits.writes, tried);
         let (number, service) = (place.number, place.service.clone());
         match answer.end {
             AnswerEnd::Refused(UpstreamCode::UnknownStatement) => drop(place),
@@ -336,12 +337,14 @@
         AttemptEnd::Reply(self.relay(answer))
     }
 
-    /// Notes why a database ran nothing, and says whether another attempt may be
-    /// made.
+    /// Notes why a database gave no result, and says whether another attempt may
+    /// be made: always where nothing ran, and once at each database for a read
+    /// that failed.
     pub(super) fn retry_advice(
         &self,
         place: &RunPlace,
         answer: &UpstreamAnswer,
+        only_reads: bool,
         tried: &mut Vec<InstanceKey>,
     ) -> RetryAdvice {
         let AnswerEnd::Refused(code) = answer.end else {
@@ -363,7 +366,13 @@
                     _ => RetryAdvice::AfterPause,
                 }
             }
-            UpstreamCode::ConnectionLimit | UpstreamCode::Other => RetryAdvice::Final,
+            UpstreamCode::Failed if only_reads && !tried.contains(&place.link.record().key) => {
+                tried.push(place.link.record().key.clone());
+                RetryAdvice::AtOnce
+            }
+            UpstreamCode::ConnectionLimit | UpstreamCode::Failed | UpstreamCode::Other => {
+                RetryAdvice::Final
+            }
         }
     }
 
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -9,7 +9,7 @@
 use hawthornstack_decisions::{
     clock::Moment,
     control_host::EntryReport,
-    entry::{DatabasePath, EntryView},
+    entry::{DatabasePath, EntryView, HomeLoad, choose_home},
     identity::HostId,
     instances::{InstanceKey, InstanceRecord},
 };
@@ -72,6 +72,7 @@
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Homes that could not be reached, and until when they are passed over.
     avoided: RefCell<HashMap<HostId, Moment>>,
+    home_loads: RefCell<HashMap<(InstanceKey, HostId), HomeLoad>>,
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
 
@@ -102,6 +103,7 @@
             traces: TraceBudget::default(),
             pools: RefCell::new(HashMap::new()),
             avoided: RefCell::new(HashMap::new()),
+            home_loads: RefCell::new(HashMap::new()),
             writes: RefCell::new(BTreeMap::new()),
         }
     }
@@ -127,7 +129,7 @@
                 self.pool_by(record, None, connections as usize)
             }
             DatabasePath::Homes(homes) => {
-                self.pool_by(record, self.usable_home(&homes), HOME_LINKS)
+                self.pool_by(record, self.usable_home(record, &homes), HOME_LINKS)
             }
         }
     }
@@ -151,11 +153,26 @@
         pool.clone()
     }
 
-    fn usable_home(&self, homes: &[HostId]) -> Option<HostId> {
-        let now = self.now();
-        let avoided = self.avoided.borrow();
-        let usable = |home: &&HostId| avoided.get(home).is_none_or(|until| now >= *until);
-        homes.iter().find(usable).or(homes.first()).copied()
+    fn usable_home(&self, record: &InstanceRecord, homes: &[HostId]) -> Option<HostId> {
+        let (avoided, loads) = (self.avoided.borrow(), self.home_loads.borrow());
+        let load_of = |home: &HostId| {
+            let mut load = loads.get(&(record.key.clone(), *home)).copied().unwrap_or_default();
+            avoided.get(home).into_iter().for_each(|until| load.avoid(*until));
+            load
+        };
+        let known: Vec<HomeLoad> = homes.iter().map(load_of).collect();
+        choose_home(&known, self.now()).map(|place| homes[place])
+    }
+
+    /// Notes how a home answered for a database, or that it had no connection
+    /// free.
+    pub(super) fn note_home(&self, key: &InstanceKey, home: HostId, took: Duration, busy: bool) {
+        let mut loads = self.home_loads.borrow_mut();
+        let load = loads.entry((key.clone(), home)).or_default();
+        match busy {
+            true => load.was_crowded(self.now()),
+            false => load.answered(took),
+        }
     }
 
     /// Passes over a home for a while.
@@ -175,6 +192,7 @@
     /// databases that are gone.
     pub(super) fn tend_pools(&self) {
         let pools: Vec<Rc<DatabasePool>> = self.pools.borrow().values().cloned().collect();
+        self.fade_homes();
         for pool in pools {
             let gone = self.view.borrow().instance(&pool.record().key).is_none();
             let share = self.connection_share(pool.record(), pool.home());
@@ -186,6 +204,14 @@
         }
     }
 
+    /// Forgets homes of databases that are gone, and slowly how slow they were.
+    fn fade_homes(&self) {
+        let view = self.view.borrow();
+        let mut loads = self.home_loads.borrow_mut();
+        loads.retain(|(key, _), _| view.instance(key).is_some());
+        loads.values_mut().for_each(HomeLoad::fade);
+    }
+
     /// This host's even share of a database's connections, or of a home's.
     fn connection_share(&self, record: &InstanceRecord, home: Option<HostId>) -> usize {
         match (home, self.path_to(record)) {
--- a/crates/daemon/src/entry/forward_task.rs
+++ b/crates/daemon/src/entry/forward_task.rs
@@ -15,12 +15,16 @@
     upstream_link::UpstreamAnswer,
 };
 use crate::{
-    edges::{CallerStatement, ForwardedCommand, SessionPhase, StatementAction, UpstreamCode},
+    edges::{
+        CallerStatement, ForwardUrgency, ForwardedCommand, SessionPhase, StatementAction,
+        UpstreamCode,
+    },
     links::{LineStream, prepare_socket},
 };
 
-/// Time for which a forwarded statement waits for a connection of its home;
-/// its own host repeats what is refused while it has time.
+/// Time for which a forwarded statement waits for a connection of its home
+/// unless its host says otherwise; that host repeats what is refused while it has
+/// time.
 const FORWARD_WAIT: Duration = Duration::from_millis(250);
 /// Longest time for a forwarded statement at the database; its own host gives
 /// up sooner by the route's timeout.
@@ -28,6 +32,14 @@
 /// Silence of another host with unacknowledged data after which it is gone.
 const FORWARD_SILENCE: Duration = Duration::from_secs(2);
 
+/// Of a statement whose host says nothing about it.
+const DEFAULT_URGENCY: ForwardUrgency = ForwardUrgency {
+    priority: 1,
+    objective: FORWARD_WAIT,
+    waited: Duration::ZERO,
+    patience: FORWARD_WAIT,
+};
+
 /// Takes another entry host's statements for a database that this host is a home
 /// of.
 pub(super) async fn serve_forwards(shared: Rc<EntryShared>, stream: TcpStream) {
@@ -103,13 +115,21 @@
     shared: Rc<EntryShared>,
     record: InstanceRecord,
     state: SessionState,
+    /// Of the next statement.
+    urgency: Option<ForwardUrgency>,
     /// The open transaction's place.
     place: Option<RunPlace>,
 }
 
 impl ForwardLink {
     fn new(shared: &Rc<EntryShared>, record: InstanceRecord) -> Self {
-        Self { shared: shared.clone(), record, state: SessionState::default(), place: None }
+        Self {
+            shared: shared.clone(),
+            record,
+            state: SessionState::default(),
+            urgency: None,
+            place: None,
+        }
     }
 
     fn phase(&self) -> SessionPhase {
@@ -127,6 +147,7 @@
     async fn run(&mut self, command: ForwardedCommand, out: &mut Vec<u8>) -> io::Result<()> {
         match command {
             ForwardedCommand::Open { .. } => return Err(io::ErrorKind::InvalidData.into()),
+            ForwardedCommand::Urgency(urgency) => self.urgency = Some(urgency),
             ForwardedCommand::Reset => {
                 self.state = SessionState::default();
                 self.done(out);
@@ -171,14 +192,18 @@
     }
 
     /// A connection of this host, if one comes free soon.
-    async fn connect(&self) -> Option<RunPlace> {
+    async fn connect(&mut self) -> Option<RunPlace> {
         let pool = self.shared.direct_pool(&self.record);
         let now = self.shared.now();
-        let statement = QueuedStatement { arrived: now, objective: FORWARD_WAIT, priority: 1 };
-        let deadline = Instant::now() + FORWARD_WAIT;
+        let urgency = self.urgency.take().unwrap_or(DEFAULT_URGENCY);
+        let statement = QueuedStatement {
+            arrived: now - urgency.waited,
+            objective: urgency.objective,
+            priority: urgency.priority,
+        };
+        let deadline = Instant::now() + urgency.patience.min(FORWARD_WAIT);
         let link = pool.acquire(&self.shared, statement, deadline).await.ok()?;
-        let service = Arc::clone(&self.record.service);
-        Some(RunPlace { link, service, number: None, after: None, _guard: None })
+        Some(RunPlace::for_forward(link, Arc::clone(&self.record.service)))
     }
 
     async fn begin(
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -16,7 +16,9 @@
     request_trace::{RequestTrace, TraceStep},
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
-use crate::edges::{CallerStatement, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand};
+use crate::edges::{
+    CallerStatement, ForwardUrgency, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
+};
 
 /// Time without an answer after which a primary is probed: longer than nearly
 /// all statements, shorter than the usual timeouts.
@@ -24,6 +26,9 @@
 /// Time for which a read waits for one database before the choice is made
 /// again: others may have become free, or may hold the position by now.
 const MOVE_AFTER: Duration = Duration::from_millis(40);
+/// Time for which a statement that only one database can run waits for a
+/// connection of one home before it asks the next.
+const HOME_PATIENCE: Duration = Duration::from_millis(100);
 /// Part of its timeout that a statement must have left to be sent, unless its
 /// database usually answers sooner.
 const SHORTEST_TIME_PART: u32 = 4;
@@ -43,9 +48,26 @@
     pub(super) number: Option<u64>,
     /// Position that a replica must hold.
     pub(super) after: Option<LogPosition>,
+    /// What a home is told before the first statement.
+    urgency: Option<ForwardUrgency>,
     pub(super) _guard: Option<WriteGuard>,
 }
 
+impl RunPlace {
+    /// A connection of this host's own to a database, for another host.
+    pub(super) fn for_forward(link: PooledLink, service: Arc<str>) -> Self {
+        Self { link, service, number: None, after: None, urgency: None, _guard: None }
+    }
+
+    /// Appends what the home needs to order the next statement, if there is one
+    /// on the way.
+    pub(super) fn encode_urgency(&self, shared: &EntryShared, out: &mut Vec<u8>) {
+        if let Some(urgency) = self.urgency {
+            shared.upstreams.encode_command(out, UpstreamCommand::Urgency(urgency));
+        }
+    }
+}
+
 /// Why there is no place to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoPlace {
@@ -68,6 +90,18 @@
     pub(super) last_commit: Option<LogPosition>,
 }
 
+impl RunLimits<'_> {
+    fn urgency(&self, now: Moment) -> ForwardUrgency {
+        let patience = if self.may_move { MOVE_AFTER } else { HOME_PATIENCE };
+        ForwardUrgency {
+            priority: self.route.priority,
+            objective: self.route.objective,
+            waited: now.since(self.arrived),
+            patience,
+        }
+    }
+}
+
 /// Finds a database that may run the statement, and a connection to it.
 pub(super) async fn find_place(
     shared: &Rc<EntryShared>,
@@ -94,7 +128,7 @@
                 continue;
             }
         };
-        let expected_ms = shared.view.borrow().loads.get(&record.key).expected_ms();
+        let expected_ms = shared.view.borrow().loads.get(&record.key).expected_ms(now);
         let instance = record.key.clone();
         trace.note(now, TraceStep::Routed { instance, term: number, after, expected_ms });
         let pool = shared.pool(&record);
@@ -127,13 +161,9 @@
                 }
                 let guard = number.map(|number| shared.begin_write(service, number));
                 let guard = guard.filter(|_| limits.writes);
-                return Ok(RunPlace {
-                    link,
-                    service: service.clone(),
-                    number,
-                    after,
-                    _guard: guard,
-                });
+                let urgency = link.home().map(|_| limits.urgency(shared.now()));
+                let service = service.clone();
+                return Ok(RunPlace { link, service, number, after, urgency, _guard: guard });
             }
             Err(AcquireError::OutOfTime) => {
                 pool.log_exhausted(&trace.id);
@@ -250,10 +280,21 @@
     };
     trace.note(now, sent);
     if let Ok(answer) = &result {
-        place.link.note_answer(answer.end == AnswerEnd::Refused(UpstreamCode::Busy));
+        let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
+        place.link.note_answer(busy);
+        if let Some(home) = place.link.home() {
+            shared.note_home(&key, home, now.since(sent_at), busy);
+        }
     }
     let mut view = shared.view.borrow_mut();
     view.loads.finished(&key, result.is_ok().then(|| now.since(sent_at)));
+    if let Ok(answer) = &result {
+        match answer.end {
+            AnswerEnd::Done => view.loads.ran(now, &key, false),
+            AnswerEnd::Refused(UpstreamCode::Failed) => view.loads.ran(now, &key, true),
+            AnswerEnd::Refused(_) => {}
+        }
+    }
     if let Ok(UpstreamAnswer { position: Some(position), .. }) = &result {
         view.loads.saw_position(&key, *position);
         if let Some(number) = number {
--- a/crates/daemon/src/entry/transaction_run.rs
+++ b/crates/daemon/src/entry/transaction_run.rs
@@ -70,13 +70,14 @@
     ) -> Option<RunPlace> {
         let mut out = Vec::new();
         let after = place.after;
+        place.encode_urgency(&self.shared, &mut out);
         let link = place.link.link()?;
         let restoring = encode_begin(&self.shared, link, &self.state, read_only, after, &mut out);
         let key = place.link.record().key.clone();
         match run_at(&self.shared, &mut place, &out, restoring, deadline, trace).await {
             Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(place),
             Ok(answer) if answer.phase == SessionPhase::Idle => {
-                let advice = self.retry_advice(&place, &answer, tried);
+                let advice = self.retry_advice(&place, &answer, false, tried);
                 place.link.release();
                 advice.follow(&self.shared, deadline).await;
                 trace.note(
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -350,12 +350,12 @@
             .filter_map(|record| {
                 let load = self.loads.get(&record.key);
                 let fits = load.is_usable(now) && load.may_hold(now, position, settled);
-                fits.then(|| (self.cost(record, load.expected_ms()), record))
+                fits.then(|| (self.cost(record, load.expected_ms(now)), record))
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
         let primary_cost = primary.filter(|record| !tried.contains(&record.key)).map(|record| {
             let load = self.loads.get(&record.key);
-            PRIMARY_WEIGHT * self.cost(&record, load.expected_ms())
+            PRIMARY_WEIGHT * self.cost(&record, load.expected_ms(now))
         });
         match (best, primary_cost) {
             (Some((cost, record)), primary) if primary.is_none_or(|primary| cost <= primary) => {
--- a/crates/decisions/src/entry/instance_load.rs
+++ b/crates/decisions/src/entry/instance_load.rs
@@ -15,6 +15,15 @@
 /// needs this one or a newer one.
 const LAG_AVOIDANCE: Duration = Duration::from_millis(250);
 
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which half of the share of failures is forgotten, so that a database
+/// that was avoided for them slowly gets work again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// How many times dearer a database is that fails all it runs. It stays a last
+/// resort: it may be the only one that can serve.
+const FAILURE_COST: f64 = 10.0;
+
 /// What this host saw of one database.
 #[derive(Debug, Clone)]
 pub struct InstanceLoad {
@@ -22,6 +31,8 @@
     pub outstanding: u32,
     latency_ms: f64,
     failures: u32,
+    /// Share of what ran that failed, and when it was worked out.
+    failing: (f64, Moment),
     avoid_until: Moment,
     /// Oldest position that it lacked, and until when that counts.
     lacking: Option<(LogPosition, Moment)>,
@@ -35,6 +46,7 @@
             outstanding: 0,
             latency_ms: FIRST_LATENCY_MS,
             failures: 0,
+            failing: (0.0, Moment::ZERO),
             avoid_until: Moment::ZERO,
             lacking: None,
             position: None,
@@ -60,9 +72,17 @@
         Duration::from_secs_f64(self.latency_ms.max(0.0) / 1_000.0)
     }
 
-    /// Expected time to an answer, for comparison only, in milliseconds.
-    pub fn expected_ms(&self) -> f64 {
-        self.latency_ms * f64::from(self.outstanding + 1)
+    /// Expected time to a result, for comparison only, in milliseconds.
+    pub fn expected_ms(&self, now: Moment) -> f64 {
+        let failures = 1.0 + (FAILURE_COST - 1.0) * self.failing_share(now);
+        self.latency_ms * f64::from(self.outstanding + 1) * failures
+    }
+
+    /// Share of what ran here that failed, by what is remembered of it.
+    pub fn failing_share(&self, now: Moment) -> f64 {
+        let (share, at) = self.failing;
+        let half_lives = now.since(at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        share * 0.5f64.powf(half_lives)
     }
 }
 
@@ -95,6 +115,14 @@
         }
     }
 
+    /// The database ran a statement to its end, or failed it.
+    pub fn ran(&mut self, now: Moment, key: &InstanceKey, failed: bool) {
+        let load = self.loads.entry(key.clone()).or_default();
+        let before = load.failing_share(now);
+        let outcome = f64::from(u8::from(failed));
+        load.failing = (before + FAILURE_WEIGHT * (outcome - before), now);
+    }
+
     /// An answer carried a position.
     pub fn saw_position(&mut self, key: &InstanceKey, position: LogPosition) {
         let load = self.loads.entry(key.clone()).or_default();
--- a/crates/decisions/src/entry/mod.rs
+++ b/crates/decisions/src/entry/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection_state;
 mod entry_view;
+mod home_load;
 mod inflight_window;
 mod instance_load;
 mod queue_order;
@@ -11,6 +12,7 @@
 
 pub use connection_state::{ConnectionState, RestoreStep};
 pub use entry_view::{DatabasePath, EntryView, PrimaryUse, ReadNeed, ReadTarget};
+pub use home_load::{HomeLoad, choose_home};
 pub use inflight_window::InflightWindow;
 pub use instance_load::{InstanceLoad, LoadTable};
 pub use queue_order::{QueuedStatement, next_in_queue};
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -198,3 +198,25 @@
     let view = crowd(16);
     assert!((1..=16).all(|me| path(&view, me, 48) == DatabasePath::Direct { connections: 3 }));
 }
+
+/// A replica that answers health checks but fails part of what it runs gets less
+/// work, and more again once it has not failed for a while.
+#[test]
+fn failing_replica_is_a_last_resort() {
+    let now = Moment::from_millis(5_000);
+    let mut view = view(now);
+    let kind = RouteKind::BoundedStaleness { max_age: Duration::from_millis(1_500) };
+    let reads_at_replica = |view: &EntryView, now: Moment| {
+        matches!(target(view, now, kind, None), ReadTarget::Replica { .. })
+    };
+    assert!(reads_at_replica(&view, now));
+    let replica = record("r", InstanceRole::Replica, 2).key;
+    for outcome in [false, true, false, true, false, true] {
+        view.loads.ran(now, &replica, outcome);
+    }
+    assert!((0.1..0.5).contains(&view.loads.get(&replica).failing_share(now)));
+    assert!(!reads_at_replica(&view, now));
+    let later = now + Duration::from_secs(4);
+    view.saw_primary(later, &Arc::from(SERVICE), 1, later, LogPosition::new(1, 90));
+    assert!(view.loads.get(&replica).failing_share(later) < 0.1);
+}
