--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -18,8 +18,6 @@
     pub objective: Duration,
     /// Time for which it has waited.
     pub waited: Duration,
-    /// Longest time to wait for a connection of the home.
-    pub patience: Duration,
 }
 
 /// What is sent to a database.
--- a/crates/daemon/src/entry/forward_task.rs
+++ b/crates/daemon/src/entry/forward_task.rs
@@ -33,12 +33,8 @@
 const FORWARD_SILENCE: Duration = Duration::from_secs(2);
 
 /// Of a statement whose host says nothing about it.
-const DEFAULT_URGENCY: ForwardUrgency = ForwardUrgency {
-    priority: 1,
-    objective: FORWARD_WAIT,
-    waited: Duration::ZERO,
-    patience: FORWARD_WAIT,
-};
+const DEFAULT_URGENCY: ForwardUrgency =
+    ForwardUrgency { priority: 1, objective: FORWARD_WAIT, waited: Duration::ZERO };
 
 /// Takes another entry host's statements for a database that this host is a home
 /// of.
@@ -201,7 +197,7 @@
             objective: urgency.objective,
             priority: urgency.priority,
         };
-        let deadline = Instant::now() + urgency.patience.min(FORWARD_WAIT);
+        let deadline = Instant::now() + FORWARD_WAIT;
         let link = pool.acquire(&self.shared, statement, deadline).await.ok()?;
         Some(RunPlace::for_forward(link, Arc::clone(&self.record.service)))
     }
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -26,9 +26,6 @@
 /// Time for which a read waits for one database before the choice is made
 /// again: others may have become free, or may hold the position by now.
 const MOVE_AFTER: Duration = Duration::from_millis(40);
-/// Time for which a statement that only one database can run waits for a
-/// connection of one home before it asks the next.
-const HOME_PATIENCE: Duration = Duration::from_millis(100);
 /// Part of its timeout that a statement must have left to be sent, unless its
 /// database usually answers sooner.
 const SHORTEST_TIME_PART: u32 = 4;
@@ -91,13 +88,18 @@
 }
 
 impl RunLimits<'_> {
+    /// Until when it waits for a connection. What waited for half of its time
+    /// was overtaken by newer statements all the while; its caller does better
+    /// to know now, with time for another attempt.
+    fn connect_by(&self) -> Instant {
+        self.deadline - self.route.timeout / 2
+    }
+
     fn urgency(&self, now: Moment) -> ForwardUrgency {
-        let patience = if self.may_move { MOVE_AFTER } else { HOME_PATIENCE };
         ForwardUrgency {
             priority: self.route.priority,
             objective: self.route.objective,
             waited: now.since(self.arrived),
-            patience,
         }
     }
 }
@@ -132,9 +134,10 @@
         let instance = record.key.clone();
         trace.note(now, TraceStep::Routed { instance, term: number, after, expected_ms });
         let pool = shared.pool(&record);
+        let connect_by = limits.connect_by();
         let until = match limits.may_move {
-            true => limits.deadline.min(Instant::now() + MOVE_AFTER),
-            false => limits.deadline,
+            true => connect_by.min(Instant::now() + MOVE_AFTER),
+            false => connect_by,
         };
         shared.view.borrow_mut().loads.started(&record.key);
         let acquired = pool.acquire(shared, statement, until).await;
@@ -142,7 +145,7 @@
         let (at, got) = (shared.now(), acquired.is_ok());
         trace.note(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
-            Err(AcquireError::OutOfTime) if Instant::now() < limits.deadline => continue,
+            Err(AcquireError::OutOfTime) if Instant::now() < connect_by => continue,
             Ok(link) => {
                 if let (Some(number), Some(position)) = (number, link.opened_at) {
                     let mut view = shared.view.borrow_mut();
