--- a/crates/daemon/src/control/status_question.rs
+++ b/crates/daemon/src/control/status_question.rs
@@ -61,7 +61,7 @@
                     return protocol.decode_status(&line).map(Some).map_err(io::Error::other);
                 }
                 UpstreamReply::Ready { .. } | UpstreamReply::Refused(_) => return Ok(None),
-                UpstreamReply::Done | UpstreamReply::Mark(_) => {}
+                UpstreamReply::Done => {}
             }
         }
     }
--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -12,6 +12,6 @@
 };
 pub use operator_edge::{PromotionEdge, PromotionOrder};
 pub use upstream_protocol::{
-    ForwardMark, ForwardUrgency, ForwardedCommand, MalformedReply, UpstreamCode, UpstreamCommand,
+    ForwardUrgency, ForwardedCommand, MalformedReply, UpstreamCode, UpstreamCommand,
     UpstreamProtocol, UpstreamReply,
 };
--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -20,15 +20,6 @@
     pub waited: Duration,
 }
 
-/// What a home saw of a primary: with it other hosts can read at replicas.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ForwardMark {
-    /// The log held all commits acknowledged before.
-    pub position: LogPosition,
-    /// How long before this message that was; never less than it was.
-    pub age: Duration,
-}
-
 /// What is sent to a database.
 #[derive(Debug, Clone, Copy)]
 pub enum UpstreamCommand<'a> {
@@ -169,8 +160,6 @@
     Done,
     /// The statement gave no result.
     Refused(UpstreamCode),
-    /// From a home, anywhere before the end of an answer.
-    Mark(ForwardMark),
     /// End of the answer.
     Ready {
         /// State of the connection.
@@ -204,9 +193,6 @@
     /// Appends a refusal to another entry host; nothing ran.
     fn encode_forward_refusal(&self, out: &mut Vec<u8>, code: UpstreamCode);
 
-    /// Appends what this home saw of the primary to an answer.
-    fn encode_forward_mark(&self, out: &mut Vec<u8>, mark: ForwardMark);
-
     /// Reads one message.
     ///
     /// # Errors
--- a/crates/daemon/src/entry/forward_task.rs
+++ b/crates/daemon/src/entry/forward_task.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use hawthornstack_decisions::{
-    clock::Moment,
-    entry::{PrimaryUse, QueuedStatement, SessionState},
+    entry::{QueuedStatement, SessionState},
     instances::InstanceRecord,
     positions::LogPosition,
 };
@@ -17,8 +16,8 @@
 };
 use crate::{
     edges::{
-        CallerStatement, ForwardMark, ForwardUrgency, ForwardedCommand, SessionPhase,
-        StatementAction, UpstreamCode,
+        CallerStatement, ForwardUrgency, ForwardedCommand, SessionPhase, StatementAction,
+        UpstreamCode,
     },
     links::{LineStream, prepare_socket},
 };
@@ -27,10 +26,6 @@
 /// unless its host says otherwise; that host repeats what is refused while it has
 /// time.
 const FORWARD_WAIT: Duration = Duration::from_millis(250);
-/// Time between two marks of a primary that one link carries.
-const MARK_INTERVAL: Duration = Duration::from_millis(200);
-/// Marks older than this are of no use to reads that accept usual ages.
-const OLDEST_MARK: Duration = Duration::from_secs(5);
 /// Longest time for a forwarded statement at the database; its own host gives
 /// up sooner by the route's timeout.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -64,10 +59,9 @@
         shared.upstreams.encode_forward_refusal(&mut out, UpstreamCode::Misrouted);
         return lines.send(&out).await;
     };
-    let mut link = ForwardLink::new(shared, record);
-    link.tell_mark(&mut out);
     shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
     lines.send(&out).await?;
+    let mut link = ForwardLink::new(shared, record);
     while let Some(line) = next_command(shared, lines, &link).await? {
         out.clear();
         let command = shared.upstreams.decode_forwarded(&line).map_err(io::Error::other)?;
@@ -117,8 +111,6 @@
     shared: Rc<EntryShared>,
     record: InstanceRecord,
     state: SessionState,
-    /// When the other host was last told what is known of the primary.
-    mark_told: Option<Moment>,
     /// Of the next statement.
     urgency: Option<ForwardUrgency>,
     /// The open transaction's place.
@@ -131,7 +123,6 @@
             shared: shared.clone(),
             record,
             state: SessionState::default(),
-            mark_told: None,
             urgency: None,
             place: None,
         }
@@ -186,42 +177,12 @@
         self.shared.callers.encode_ready(out, self.phase(), None);
     }
 
-    /// Tells the other host what this one saw of the primary, from time to time.
-    fn tell_mark(&mut self, out: &mut Vec<u8>) {
-        let now = self.shared.now();
-        if self.mark_told.is_some_and(|told| now.since(told) < MARK_INTERVAL) {
-            return;
-        }
-        let newest = self.shared.view.borrow().newest_mark(now, &self.record.service);
-        if let Some((position, age)) = newest.filter(|(_, age)| *age < OLDEST_MARK) {
-            self.mark_told = Some(now);
-            self.shared.upstreams.encode_forward_mark(out, ForwardMark { position, age });
-        }
-    }
-
-    /// Notes the position of the primary, if the database is one that this host
-    /// may use.
-    fn note_position(&self, sent_at: Moment, position: Option<LogPosition>) {
-        let (Some(position), now) = (position, self.shared.now()) else {
-            return;
-        };
-        let service = &self.record.service;
-        let mut view = self.shared.view.borrow_mut();
-        if let PrimaryUse::Usable { record, number } = view.primary(now, service)
-            && record.key == self.record.key
-        {
-            view.saw_primary(now, service, number, sent_at, position);
-        }
-    }
-
-    fn refuse(&mut self, out: &mut Vec<u8>) {
-        self.tell_mark(out);
+    fn refuse(&self, out: &mut Vec<u8>) {
         self.shared.upstreams.encode_forward_refusal(out, UpstreamCode::Busy);
         self.shared.callers.encode_ready(out, self.phase(), None);
     }
 
-    fn relay(&mut self, out: &mut Vec<u8>, answer: &UpstreamAnswer) {
-        self.tell_mark(out);
+    fn relay(&self, out: &mut Vec<u8>, answer: &UpstreamAnswer) {
         out.extend_from_slice(&answer.body);
         self.shared.callers.encode_ready(out, answer.phase, answer.position);
     }
@@ -238,7 +199,6 @@
         };
         let deadline = Instant::now() + FORWARD_WAIT;
         let link = pool.acquire(&self.shared, statement, deadline).await.ok()?;
-        self.note_position(now, link.opened_at);
         Some(RunPlace::for_forward(link, Arc::clone(&self.record.service)))
     }
 
@@ -304,13 +264,10 @@
         restoring: usize,
     ) -> io::Result<UpstreamAnswer> {
         let deadline = Instant::now() + FORWARD_TIMEOUT;
-        let sent_at = self.shared.now();
-        let mut trace = RequestTrace::new(b"-", sent_at);
-        let answer = run_at(&self.shared, place, bytes, restoring, deadline, &mut trace)
+        let mut trace = RequestTrace::new(b"-", self.shared.now());
+        run_at(&self.shared, place, bytes, restoring, deadline, &mut trace)
             .await
-            .map_err(|_| io::Error::from(io::ErrorKind::ConnectionAborted))?;
-        self.note_position(sent_at, answer.position);
-        Ok(answer)
+            .map_err(|_| io::ErrorKind::ConnectionAborted.into())
     }
 
     /// Keeps the place for the open transaction, or gives it back.
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -146,8 +146,7 @@
         trace.note(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
             Err(AcquireError::OutOfTime) if Instant::now() < connect_by => continue,
-            Ok(mut link) => {
-                hear_mark(shared, service, &mut link);
+            Ok(link) => {
                 if let (Some(number), Some(position)) = (number, link.opened_at) {
                     let mut view = shared.view.borrow_mut();
                     view.saw_primary(shared.now(), service, number, now, position);
@@ -290,7 +289,6 @@
             shared.note_home(&key, home, now.since(sent_at), busy);
         }
     }
-    hear_mark(shared, &service, &mut place.link);
     let mut view = shared.view.borrow_mut();
     view.loads.finished(&key, result.is_ok().then(|| now.since(sent_at)));
     if let Ok(answer) = &result {
@@ -315,13 +313,6 @@
     result
 }
 
-/// Takes what a home said of the primary.
-fn hear_mark(shared: &EntryShared, service: &Arc<str>, link: &mut PooledLink) {
-    if let Some((seen_at, position)) = link.link().and_then(UpstreamLink::take_mark) {
-        shared.view.borrow_mut().heard_of_primary(service, seen_at, position);
-    }
-}
-
 fn result_name(result: &Result<UpstreamAnswer, LinkError>) -> &'static str {
     match result {
         Ok(answer) => match answer.end {
--- a/crates/daemon/src/entry/upstream_link.rs
+++ b/crates/daemon/src/entry/upstream_link.rs
@@ -1,7 +1,6 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use hawthornstack_decisions::{
-    clock::Moment,
     entry::{ConnectionState, RestoreStep},
     instances::InstanceRecord,
     positions::LogPosition,
@@ -12,10 +11,7 @@
 };
 
 use crate::{
-    clock::BootClock,
-    edges::{
-        ForwardMark, SessionPhase, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply,
-    },
+    edges::{SessionPhase, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply},
     links::{LineStream, prepare_socket},
 };
 
@@ -71,10 +67,6 @@
 pub(super) struct UpstreamLink {
     lines: LineStream,
     pub(super) state: ConnectionState,
-    /// What a home said of the primary, and when the message that it answers was
-    /// sent.
-    mark: Option<(Moment, ForwardMark)>,
-    asked_at: Moment,
     /// When it was opened.
     pub(super) opened: Instant,
 }
@@ -95,8 +87,7 @@
         };
         prepare_socket(&stream, UPSTREAM_SILENCE).map_err(|_| OpenError::Unreachable)?;
         let (lines, state) = (LineStream::new(stream), ConnectionState::default());
-        let asked_at = BootClock.now();
-        let mut link = Self { lines, state, mark: None, asked_at, opened: Instant::now() };
+        let mut link = Self { lines, state, opened: Instant::now() };
         let mut out = Vec::new();
         let open =
             UpstreamCommand::Open { service: &record.service, caller, instance: &record.key.id };
@@ -124,7 +115,7 @@
                     return Ok(Err(OpenError::Full));
                 }
                 UpstreamReply::Refused(_) => return Ok(Err(OpenError::Unreachable)),
-                UpstreamReply::Row | UpstreamReply::Done | UpstreamReply::Mark(_) => {}
+                UpstreamReply::Row | UpstreamReply::Done => {}
             }
         }
     }
@@ -137,7 +128,6 @@
         out: &[u8],
         restoring: usize,
     ) -> Result<UpstreamAnswer, LinkError> {
-        self.asked_at = BootClock.now();
         self.lines.send(out).await.map_err(|_| LinkError::Broken)?;
         for _ in 0..restoring {
             let answer = self.read_answer(protocol).await?;
@@ -159,7 +149,7 @@
         loop {
             let reply = self.next_reply(protocol, Some(&mut body)).await;
             match (reply.map_err(|_| LinkError::Broken)?, end) {
-                (UpstreamReply::Mark(_), _) | (UpstreamReply::Row, None) => {}
+                (UpstreamReply::Row, None) => {}
                 (UpstreamReply::Done, None) => end = Some(AnswerEnd::Done),
                 (UpstreamReply::Refused(code), None) => end = Some(AnswerEnd::Refused(code)),
                 (UpstreamReply::Ready { phase, position }, Some(end)) => {
@@ -180,9 +170,7 @@
         let reply = protocol
             .decode_reply(&line)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
-        if let UpstreamReply::Mark(mark) = reply {
-            self.mark = Some((self.asked_at, mark));
-        } else if let Some(body) = body
+        if let Some(body) = body
             && !matches!(reply, UpstreamReply::Ready { .. })
         {
             body.extend_from_slice(&line);
@@ -191,14 +179,6 @@
         Ok(reply)
     }
 
-    /// What a home has said of the primary since this was last asked: a moment
-    /// and the position that the log had by then.
-    pub(super) fn take_mark(&mut self) -> Option<(Moment, LogPosition)> {
-        let (asked_at, mark) = self.mark.take()?;
-        // The home wrote it after it was asked.
-        Some((asked_at - mark.age, mark.position))
-    }
-
     /// True if the connection can be used for another statement.
     pub(super) fn is_quiet(&self) -> bool {
         self.lines.is_quiet()
--- a/crates/decisions/src/entry/entry_view.rs
+++ b/crates/decisions/src/entry/entry_view.rs
@@ -299,18 +299,6 @@
         }
     }
 
-    /// Notes what another host saw of a primary: all commits acknowledged before
-    /// `seen_at` were in its log. True whatever became of the primary since.
-    pub fn heard_of_primary(&mut self, service: &Arc<str>, seen_at: Moment, position: LogPosition) {
-        self.marks.entry(service.clone()).or_default().record(seen_at, position);
-    }
-
-    /// The newest position seen of a service's primary, and its age.
-    pub fn newest_mark(&self, now: Moment, service: &str) -> Option<(LogPosition, Duration)> {
-        let (seen_at, position) = self.marks.get(service)?.newest()?;
-        Some((position, now.since(seen_at)))
-    }
-
     /// What a read of this route must see.
     pub fn read_need(
         &self,
--- a/crates/decisions/src/entry/read_marks.rs
+++ b/crates/decisions/src/entry/read_marks.rs
@@ -33,11 +33,6 @@
         }
     }
 
-    /// The newest mark.
-    pub fn newest(&self) -> Option<(Moment, LogPosition)> {
-        self.marks.back().copied()
-    }
-
     /// The oldest mark that is no older than `max_age`: what a read needs to
     /// see at least.
     pub fn oldest_within(&self, now: Moment, max_age: Duration) -> Option<(Moment, LogPosition)> {
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -220,25 +220,3 @@
     view.saw_primary(later, &Arc::from(SERVICE), 1, later, LogPosition::new(1, 90));
     assert!(view.loads.get(&replica).failing_share(later) < 0.1);
 }
-
-/// After a loss of power no host knows a position, and all reads would queue at
-/// the primaries while the replicas rest.
-#[test]
-fn what_another_host_saw_opens_the_replicas() {
-    let now = Moment::from_millis(1_400);
-    let mut view = view(Moment::from_millis(1_000));
-    let kind = RouteKind::BoundedStaleness { max_age: Duration::from_millis(1_500) };
-    assert_eq!(target(&view, now, kind, None), ReadTarget::Primary);
-    assert_eq!(view.newest_mark(now, SERVICE), None);
-    let seen_at = Moment::from_millis(1_200);
-    view.heard_of_primary(&Arc::from(SERVICE), seen_at, LogPosition::new(1, 12));
-    let age = Duration::from_millis(200);
-    assert_eq!(view.newest_mark(now, SERVICE), Some((LogPosition::new(1, 12), age)));
-    let ReadTarget::Replica { position, .. } = target(&view, now, kind, None) else {
-        panic!("the replica is not used");
-    };
-    assert_eq!(position, LogPosition::new(1, 12));
-    // It grows too old like any other.
-    let late = seen_at + Duration::from_millis(1_500);
-    assert_eq!(target(&view, late, kind, None), ReadTarget::Primary);
-}
