--- a/crates/daemon/src/control/control_service.rs
+++ b/crates/daemon/src/control/control_service.rs
@@ -8,6 +8,7 @@
 };
 
 use hawthornstack_decisions::{
+    control::AuditRecord,
     control_host::{
         ControlEffect, ControlEvent, ControlHost, ControlNote, ControlSettings, EntryUpdate,
         OperatorOrder, OrderAnswer,
@@ -15,6 +16,7 @@
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
 };
+use hawthornstack_wire::operators::StatusResponse;
 use tokio::{
     sync::{mpsc, oneshot},
     time::sleep,
@@ -23,6 +25,7 @@
 use super::{
     journal_thread::JournalThread,
     peer_links::{LinkEvent, PeerDialler, accept_links},
+    status_pages::status_page,
     status_question::StatusQuestion,
 };
 use crate::{
@@ -49,6 +52,8 @@
 enum ServiceEvent {
     Order(OperatorOrder, oneshot::Sender<OrderAnswer>),
     Control(ControlEvent),
+    Status(oneshot::Sender<Option<StatusResponse>>),
+    Audit(oneshot::Sender<Vec<AuditRecord>>),
 }
 
 /// Talks to a running control host.
@@ -74,6 +79,21 @@
         self.connected.get()
     }
 
+    /// The system as this host sees it; `None` if it has a name that operators'
+    /// pages cannot show, or if the host stops.
+    pub async fn status(&self) -> Option<StatusResponse> {
+        let (page, answered) = oneshot::channel();
+        self.events.send(ServiceEvent::Status(page)).ok()?;
+        answered.await.ok()?
+    }
+
+    /// The audit trail as applied on this host; `None` if the host stops.
+    pub async fn audit(&self) -> Option<Vec<AuditRecord>> {
+        let (records, answered) = oneshot::channel();
+        self.events.send(ServiceEvent::Audit(records)).ok()?;
+        answered.await.ok()
+    }
+
     /// Takes an announcement of a database.
     pub fn announce(&self, record: InstanceRecord) {
         self.send(ControlEvent::Announced(record));
@@ -187,6 +207,13 @@
     fn take_event(&mut self, event: ServiceEvent) {
         match event {
             ServiceEvent::Control(event) => self.step(event),
+            ServiceEvent::Status(page) => {
+                // Whoever asked may have gone meanwhile, here and below.
+                let _ = page.send(self.status());
+            }
+            ServiceEvent::Audit(records) => {
+                let _ = records.send(self.host.control().audit.clone());
+            }
             ServiceEvent::Order(order, answer) => {
                 self.next_ticket += 1;
                 let ticket = self.next_ticket;
@@ -196,6 +223,17 @@
         }
     }
 
+    fn status(&self) -> Option<StatusResponse> {
+        let (me, port) = (self.options.decisions.me, self.options.link_port);
+        match status_page(&self.host, me, port, self.clock.now()) {
+            Ok(page) => Some(page),
+            Err(error) => {
+                tracing::warn!(target: "control", %error, "status not shown");
+                None
+            }
+        }
+    }
+
     fn take_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Control(event) => {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod control_service;
 mod journal_thread;
 mod peer_links;
+mod status_pages;
 mod status_question;
 
 pub use control_service::{ControlHandle, ControlOptions, start_control};
--- /dev/null
+++ b/crates/daemon/src/control/status_pages.rs
@@ -0,0 +1,75 @@
+use hawthornstack_decisions::{
+    clock::Moment,
+    control_host::ControlHost,
+    identity::{DataCentre, DatabaseName, GroupName, HostId, NameError},
+    instances::{InstanceRecord, InstanceRole},
+    primaries::{ServiceTerm, TermPhase},
+};
+use hawthornstack_wire::operators::{GroupStatus, HostStatus, MemberStatus, StatusResponse};
+
+use crate::links::host_address;
+
+/// The system as a control host sees it: each service is one group, and the
+/// hosts are the voters and the entry hosts.
+pub(super) fn status_page(
+    control_host: &ControlHost,
+    me: HostId,
+    link_port: u16,
+    now: Moment,
+) -> Result<StatusResponse, NameError> {
+    let (control, agreement) = (control_host.control(), control_host.agreement());
+    let unknown = DataCentre::new("unknown")?;
+    let hosts = agreement.voters().union(&control.holders).map(|host| HostStatus {
+        host: *host,
+        peer_address: host_address(*host, link_port),
+        data_centre: unknown.clone(),
+        draining: false,
+    });
+    let groups = control.terms.values().map(|term| group_status(control_host, term));
+    Ok(StatusResponse {
+        host: me,
+        leader: agreement.leader(),
+        is_current_leader: control_host.is_current(now),
+        has_lease: control_host.is_current(now) || agreement.leader().is_some(),
+        version: control.routes_version(),
+        applied: control.applied,
+        services: Vec::new(),
+        groups: groups.collect::<Result<_, _>>()?,
+        hosts: hosts.collect(),
+    })
+}
+
+fn group_status(control_host: &ControlHost, term: &ServiceTerm) -> Result<GroupStatus, NameError> {
+    let phase = match &term.phase {
+        TermPhase::Steady => "steady",
+        TermPhase::Fencing { .. } => "fencing",
+        TermPhase::Promoting { .. } => "promoting",
+    };
+    let members = control_host.directory().of_service(&term.service).map(member_status);
+    Ok(GroupStatus {
+        group: GroupName::new(&term.service)?,
+        term: term.number,
+        primary: DatabaseName::new(&term.primary.id)?,
+        phase: phase.to_owned(),
+        homes: Vec::new(),
+        members: members.collect::<Result<_, _>>()?,
+        waiting: 0,
+    })
+}
+
+fn member_status(record: &InstanceRecord) -> Result<MemberStatus, NameError> {
+    let role = match record.role {
+        InstanceRole::Primary => "primary",
+        InstanceRole::Replica => "replica",
+    };
+    let standing = if record.draining { "draining" } else { "counting" };
+    Ok(MemberStatus {
+        database: DatabaseName::new(&record.key.id)?,
+        address: record.address,
+        data_centre: DataCentre::new(&record.data_centre)?,
+        standing: standing.to_owned(),
+        role: role.to_owned(),
+        position: String::new(),
+        in_use: 0,
+    })
+}
