Verify an audit trail whose oldest records are no longer kept

Cause: control keeps 10,000 records; after that many orders the first kept one does not follow from the empty text, and `hawthornstack audit` called the trail damaged.

--- /dev/null
+++ b/crates/decisions/tests/audit_trail.rs
@@ -0,0 +1,49 @@
+//! The audit trail keeps its newest records, and shows when one was changed.
+
+use std::sync::Arc;
+
+use hawthornstack_decisions::{
+    control::{AuditRecord, ControlCommand, ControlState, verify_chain},
+    routes::{RouteTable, TrafficLimits},
+};
+
+/// Records that control keeps.
+const KEPT: u64 = 10_000;
+
+fn trail(orders: u64) -> Vec<AuditRecord> {
+    let mut control = ControlState::default();
+    for version in 1..=orders {
+        let table = RouteTable {
+            version,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: TrafficLimits { transaction_idle: std::time::Duration::from_secs(3) },
+            source: Arc::from("{}"),
+        };
+        let command =
+            ControlCommand::RoutesReplaced { table: Arc::new(table), at_unix_ms: version };
+        control.apply(version, &command);
+    }
+    control.audit
+}
+
+#[test]
+fn trail_without_its_oldest_records_is_whole() {
+    let mut records = trail(KEPT + 5);
+    assert_eq!((records.len() as u64, records[0].sequence), (KEPT, 6));
+    assert_eq!(verify_chain(&records), None);
+    records[100].at_unix_ms += 1;
+    assert_eq!(verify_chain(&records), Some(106));
+}
+
+#[test]
+fn missing_and_changed_records_are_found() {
+    let records = trail(5);
+    assert_eq!(verify_chain(&records), None);
+    let mut missing = records.clone();
+    missing.remove(2);
+    assert_eq!(verify_chain(&missing), Some(4));
+    let mut changed = records;
+    changed[0].operator = Arc::from("somebody else");
+    assert_eq!(verify_chain(&changed), Some(1));
+}
