Give each further attempt to connect to a host more time

Found by reading: with 100 ms for every attempt a host behind a full link, where packets wait longer than that, would never connect again and lose its lease.

--- a/crates/daemon/src/control/peer_links.rs
+++ b/crates/daemon/src/control/peer_links.rs
@@ -10,7 +10,7 @@
     time::{sleep, timeout},
 };
 
-use crate::links::{FrameReader, FrameWriter, accept_each, accept_link, host_address, open_link};
+use crate::links::{FrameReader, FrameWriter, LinkDialler, accept_each, accept_link, host_address};
 
 /// Pause before a control host is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
@@ -47,8 +47,9 @@
         let reached = Rc::new(Notify::new());
         let peer_reached = reached.clone();
         tokio::task::spawn_local(async move {
+            let mut dialler = LinkDialler::new(host_address(peer, port));
             while !messages.is_closed() {
-                let result = send_messages(me, peer, port, &mut messages, &peer_reached).await;
+                let result = send_messages(me, &mut dialler, &mut messages, &peer_reached).await;
                 if let Err(error) = result {
                     tracing::debug!(target: "control", %peer, %error, "link to control host closed");
                 }
@@ -76,15 +77,17 @@
 
 async fn send_messages(
     me: HostId,
-    peer: HostId,
-    port: u16,
+    dialler: &mut LinkDialler,
     messages: &mut mpsc::Receiver<ControlMessage>,
     reached: &Notify,
 ) -> io::Result<()> {
-    let address = host_address(peer, port);
-    let (mut reader, mut writer) = tokio::select! {
-        opened = open_link(address) => opened?,
-        () = reached.notified() => open_link(address).await?,
+    let opened = tokio::select! {
+        opened = dialler.open_link() => Some(opened),
+        () = reached.notified() => None,
+    };
+    let (mut reader, mut writer) = match opened {
+        Some(opened) => opened?,
+        None => dialler.open_link().await?,
     };
     writer.send(&LinkFrame::Hello { role: LinkRole::Control, host: me }).await?;
     loop {
--- a/crates/daemon/src/entry/control_links.rs
+++ b/crates/daemon/src/entry/control_links.rs
@@ -14,7 +14,7 @@
     entry_shared::{EntryShared, ShutdownStage},
     primary_probe::probe_primary,
 };
-use crate::links::{host_address, open_link};
+use crate::links::{LinkDialler, host_address};
 
 /// Time between two requests for a lease: a lease outlives six lost ones.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -297,8 +297,9 @@
     mut queued: mpsc::UnboundedReceiver<EntryReport>,
     events: &mpsc::UnboundedSender<LinkEvent>,
 ) {
+    let mut dialler = LinkDialler::new(host_address(host, shared.settings.link_port));
     while !queued.is_closed() {
-        if let Err(error) = serve_link(shared, host, &mut queued, events).await {
+        if let Err(error) = serve_link(shared, host, &mut dialler, &mut queued, events).await {
             tracing::debug!(target: "entry", control = %host, %error, "link to control closed");
         }
         if queued.is_closed() || events.send(LinkEvent::Closed(host)).is_err() {
@@ -312,11 +313,11 @@
 async fn serve_link(
     shared: &Rc<EntryShared>,
     host: HostId,
+    dialler: &mut LinkDialler,
     queued: &mut mpsc::UnboundedReceiver<EntryReport>,
     events: &mpsc::UnboundedSender<LinkEvent>,
 ) -> io::Result<()> {
-    let address = host_address(host, shared.settings.link_port);
-    let (mut reader, mut writer) = open_link(address).await?;
+    let (mut reader, mut writer) = dialler.open_link().await?;
     let hello = LinkFrame::Hello { role: LinkRole::Entry, host: shared.settings.me };
     writer.send(&hello).await?;
     let _ = events.send(LinkEvent::Opened(host));
--- a/crates/daemon/src/links/frame_link.rs
+++ b/crates/daemon/src/links/frame_link.rs
@@ -16,10 +16,13 @@
 
 /// Largest frame, in bytes: a whole state with the longest configuration.
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
-/// Time for a connection between two hosts: twice the round trip between
+/// Time for the first attempt to connect to a host: twice the round trip between
 /// regions. A host without power does not answer, and TCP itself would ask it
 /// again only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+const FIRST_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time for an attempt: packets may wait about that long on a link that
+/// is full.
+const LONGEST_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence after which a host is taken for gone; below the election timeout's
 /// double, so that a new leader is not waited for on a dead connection.
 const PEER_SILENCE: Duration = Duration::from_millis(1_500);
@@ -36,13 +39,37 @@
     frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
 }
 
-/// Connects to another host.
-///
-/// # Errors
-/// The system's error, `TimedOut` included.
-pub async fn open_link(address: SocketAddr) -> io::Result<(FrameReader, FrameWriter)> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    accept_link(stream)
+/// Connects to one other host again and again, with more time for each attempt
+/// that gets no answer.
+#[derive(Debug)]
+pub struct LinkDialler {
+    address: SocketAddr,
+    connect_timeout: Duration,
+}
+
+impl LinkDialler {
+    /// A dialler of the host at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, connect_timeout: FIRST_CONNECT_TIMEOUT }
+    }
+
+    /// Connects.
+    ///
+    /// # Errors
+    /// The system's error, `TimedOut` included.
+    pub async fn open_link(&mut self) -> io::Result<(FrameReader, FrameWriter)> {
+        match timeout(self.connect_timeout, TcpStream::connect(self.address)).await {
+            Ok(connected) => {
+                // Connected or refused, the host answers in time.
+                self.connect_timeout = FIRST_CONNECT_TIMEOUT;
+                accept_link(connected?)
+            }
+            Err(_) => {
+                self.connect_timeout = LONGEST_CONNECT_TIMEOUT.min(self.connect_timeout * 2);
+                Err(io::ErrorKind::TimedOut.into())
+            }
+        }
+    }
 }
 
 /// Takes a connection that another host opened.
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -4,6 +4,6 @@
 mod line_stream;
 mod socket_options;
 
-pub use frame_link::{FrameReader, FrameWriter, accept_link, open_link};
+pub use frame_link::{FrameReader, FrameWriter, LinkDialler, accept_link};
 pub use line_stream::{LineStream, LineTooLong, MAX_LINE_BYTES};
 pub use socket_options::{accept_each, bind_listener, host_address, prepare_socket};
