--- a/crates/daemon/src/entry/forward_task.rs
+++ b/crates/daemon/src/entry/forward_task.rs
@@ -22,9 +22,8 @@
     links::{LineStream, prepare_socket},
 };
 
-/// Time for which a forwarded statement waits for a connection of its home
-/// unless its host says otherwise; that host repeats what is refused while it has
-/// time.
+/// Time for which a forwarded statement waits for a connection of its home;
+/// its own host repeats what is refused while it has time.
 const FORWARD_WAIT: Duration = Duration::from_millis(250);
 /// Longest time for a forwarded statement at the database; its own host gives
 /// up sooner by the route's timeout.
