--- a/crates/daemon/src/control/control_service.rs
+++ b/crates/daemon/src/control/control_service.rs
@@ -225,7 +225,7 @@
 
     fn status(&self) -> Option<StatusResponse> {
         let (me, port) = (self.options.decisions.me, self.options.link_port);
-        match status_page(&self.host, me, port, self.clock.now()) {
+        match status_page(&self.host, me, port, self.connected.get(), self.clock.now()) {
             Ok(page) => Some(page),
             Err(error) => {
                 tracing::warn!(target: "control", %error, "status not shown");
--- a/crates/daemon/src/control/status_pages.rs
+++ b/crates/daemon/src/control/status_pages.rs
@@ -10,11 +10,13 @@
 use crate::links::host_address;
 
 /// The system as a control host sees it: each service is one group, and the
-/// hosts are the voters and the entry hosts.
+/// hosts are the voters and the entry hosts. It may serve while it is connected:
+/// a current leader, or a follower of one.
 pub(super) fn status_page(
     control_host: &ControlHost,
     me: HostId,
     link_port: u16,
+    is_connected: bool,
     now: Moment,
 ) -> Result<StatusResponse, NameError> {
     let (control, agreement) = (control_host.control(), control_host.agreement());
@@ -30,7 +32,7 @@
         host: me,
         leader: agreement.leader(),
         is_current_leader: control_host.is_current(now),
-        has_lease: control_host.is_current(now) || agreement.leader().is_some(),
+        has_lease: is_connected,
         version: control.routes_version(),
         applied: control.applied,
         services: Vec::new(),
--- a/crates/daemon/src/entry/entry_shared.rs
+++ b/crates/daemon/src/entry/entry_shared.rs
@@ -72,7 +72,7 @@
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Homes that could not be reached, and until when they are passed over.
     avoided: RefCell<HashMap<HostId, Moment>>,
-    home_loads: RefCell<HashMap<(InstanceKey, HostId), HomeLoad>>,
+    home_loads: RefCell<HashMap<InstanceKey, BTreeMap<HostId, HomeLoad>>>,
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
 
@@ -155,8 +155,9 @@
 
     fn usable_home(&self, record: &InstanceRecord, homes: &[HostId]) -> Option<HostId> {
         let (avoided, loads) = (self.avoided.borrow(), self.home_loads.borrow());
+        let loads = loads.get(&record.key);
         let load_of = |home: &HostId| {
-            let mut load = loads.get(&(record.key.clone(), *home)).copied().unwrap_or_default();
+            let mut load = loads.and_then(|loads| loads.get(home)).copied().unwrap_or_default();
             avoided.get(home).into_iter().for_each(|until| load.avoid(*until));
             load
         };
@@ -168,7 +169,7 @@
     /// free.
     pub(super) fn note_home(&self, key: &InstanceKey, home: HostId, took: Duration, busy: bool) {
         let mut loads = self.home_loads.borrow_mut();
-        let load = loads.entry((key.clone(), home)).or_default();
+        let load = loads.entry(key.clone()).or_default().entry(home).or_default();
         match busy {
             true => load.was_crowded(self.now()),
             false => load.answered(took),
@@ -208,8 +209,8 @@
     fn fade_homes(&self) {
         let view = self.view.borrow();
         let mut loads = self.home_loads.borrow_mut();
-        loads.retain(|(key, _), _| view.instance(key).is_some());
-        loads.values_mut().for_each(HomeLoad::fade);
+        loads.retain(|key, _| view.instance(key).is_some());
+        loads.values_mut().flat_map(BTreeMap::values_mut).for_each(HomeLoad::fade);
     }
 
     /// This host's even share of a database's connections, or of a home's.
--- a/crates/daemon/src/entry/statement_run.rs
+++ b/crates/daemon/src/entry/statement_run.rs
@@ -297,11 +297,11 @@
             AnswerEnd::Refused(UpstreamCode::Failed) => view.loads.ran(now, &key, true),
             AnswerEnd::Refused(_) => {}
         }
-    }
-    if let Ok(UpstreamAnswer { position: Some(position), .. }) = &result {
-        view.loads.saw_position(&key, *position);
-        if let Some(number) = number {
-            view.saw_primary(now, &service, number, sent_at, *position);
+        if let Some(position) = answer.position {
+            view.loads.saw_position(&key, position);
+            if let Some(number) = number {
+                view.saw_primary(now, &service, number, sent_at, position);
+            }
         }
     }
     drop(view);
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -171,7 +171,7 @@
             let number = state.rng.random();
             let voters = state.log.voters().clone();
             let ends_at = state.abstains_until;
-            state.inquiry = Some(StartInquiry::new(number, now, ends_at, voters));
+            state.inquiry = Some(StartInquiry::new(me, number, now, ends_at, voters));
         }
         state
     }
--- a/crates/decisions/src/agreement/start_inquiry.rs
+++ b/crates/decisions/src/agreement/start_inquiry.rs
@@ -26,9 +26,17 @@
 }
 
 impl StartInquiry {
-    /// Questions to these voters, under a number that differs at every start.
-    pub(super) fn new(number: u64, now: Moment, ends_at: Moment, voters: BTreeSet<HostId>) -> Self {
-        Self { number, round_due: now, ends_at, voters, answered: BTreeSet::new() }
+    /// Questions of the host `me` to these voters, under a number that differs at
+    /// every start.
+    pub(super) fn new(
+        me: HostId,
+        number: u64,
+        now: Moment,
+        ends_at: Moment,
+        voters: BTreeSet<HostId>,
+    ) -> Self {
+        // The host itself has just started, so it does not lead.
+        Self { number, round_due: now, ends_at, voters, answered: BTreeSet::from([me]) }
     }
 
     /// When the next round is due.
@@ -53,7 +61,7 @@
         }
         inquiry.round_due = now + ROUND_INTERVAL;
         let number = inquiry.number;
-        let hosts: Vec<HostId> = inquiry.unanswered().filter(|host| *host != self.me).collect();
+        let hosts: Vec<HostId> = inquiry.unanswered().collect();
         for host in hosts {
             self.send(host, AgreementMessage::Inquiry { number });
         }
@@ -71,7 +79,6 @@
     }
 
     pub(super) fn receive_inquiry_reply(&mut self, now: Moment, from: HostId, reply: InquiryReply) {
-        let me = self.me;
         let Some(inquiry) = self.inquiry.as_mut().filter(|i| i.number == reply.number) else {
             return;
         };
@@ -82,7 +89,7 @@
         inquiry.answered.insert(from);
         // A voter that this log does not name yet may lead as well.
         inquiry.voters.extend(reply.voters);
-        if inquiry.unanswered().any(|host| host != me) {
+        if inquiry.unanswered().next().is_some() {
             return;
         }
         self.inquiry = None;
--- a/crates/decisions/src/control/audit_record.rs
+++ b/crates/decisions/src/control/audit_record.rs
@@ -51,14 +51,10 @@
 /// or `None` if the trail is whole. The oldest records of a long trail are not
 /// kept; the first of the others then follows from one that cannot be seen.
 pub fn verify_chain(records: &[AuditRecord]) -> Option<u64> {
-    let mut previous: Arc<str> = Arc::from("");
-    let mut records = records;
-    if let [first, rest @ ..] = records
-        && first.sequence > 1
-    {
-        previous = first.chain.clone();
-        records = rest;
-    }
+    let (mut previous, records): (Arc<str>, _) = match records {
+        [first, rest @ ..] if first.sequence > 1 => (first.chain.clone(), rest),
+        _ => (Arc::from(""), records),
+    };
     for record in records {
         if record.chain != record.chain_after(&previous) {
             return Some(record.sequence);
--- a/crates/decisions/tests/control_faults.rs
+++ b/crates/decisions/tests/control_faults.rs
@@ -184,8 +184,7 @@
     fn check(&mut self) {
         let seed = self.seed;
         let now = self.world.now;
-        let leads = |id: &u32| self.world.host(HostId(*id)).is_some_and(|h| h.is_current(now));
-        let leaders: Vec<u32> = (1..=HOSTS).filter(leads).collect();
+        let leaders: Vec<HostId> = self.world.leaders().collect();
         assert!(leaders.len() <= 1, "seed {seed}: {leaders:?} lead at {now:?}");
         for (ticket, answer) in std::mem::take(&mut self.world.answers) {
             let (order, read) = (self.orders.remove(&ticket), self.reads.remove(&ticket));
--- a/crates/decisions/tests/control_restart.rs
+++ b/crates/decisions/tests/control_restart.rs
@@ -21,12 +21,6 @@
     (world, leader)
 }
 
-/// Hosts that lead and can prove it.
-fn leaders(world: &ControlWorld) -> usize {
-    let leads = |id: &&HostId| world.host(**id).is_some_and(|host| host.is_current(world.now));
-    world.hosts.keys().filter(leads).count()
-}
-
 #[test]
 fn leader_is_found_at_once_after_all_were_lost() {
     for hosts in [3, 5] {
@@ -103,7 +97,11 @@
     let booted = world.now;
     while world.now.since(booted) < 4 * ELECTION_TIMEOUT {
         world.run(STEP);
-        assert!(leaders(&world) <= 1, "two leaders {:?} after the start", world.now.since(booted));
+        assert!(
+            world.leaders().count() <= 1,
+            "two leaders {:?} after the start",
+            world.now.since(booted)
+        );
     }
     assert_ne!(world.leader(), Some(leader));
     assert!(world.leader().is_some());
@@ -121,6 +119,6 @@
     for _ in 0..400 {
         world.run(STEP);
         assert_eq!(world.leader(), Some(leader));
-        assert_eq!(leaders(&world), 1);
+        assert_eq!(world.leaders().count(), 1);
     }
 }
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -150,8 +150,13 @@
 
     /// The host that leads and can prove it.
     pub fn leader(&self) -> Option<HostId> {
+        self.leaders().next()
+    }
+
+    /// All hosts that lead and can prove it: more than one is a fault.
+    pub fn leaders(&self) -> impl Iterator<Item = HostId> + '_ {
         let leads = |id: &HostId| self.host(*id).is_some_and(|host| host.is_current(self.now));
-        self.hosts.keys().copied().find(leads)
+        self.hosts.keys().copied().filter(leads)
     }
 
     pub fn voters(&self, id: HostId) -> BTreeSet<HostId> {
