Log why a draining primary stays, and what entry hosts learn of databases

The leader now writes one line a term; an entry host one line when it learns that a database drains or has left, with the control host that told it. No decision changes: the test for a successor only moved to a function.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -388,6 +388,15 @@
         ControlLogEvent::TermChanged { service, number, what } => {
             tracing::info!(target: "control", %service, number, %what, "term changed");
         }
+        ControlLogEvent::NoSuccessor { service, number, primary } => {
+            tracing::warn!(
+                target: "control",
+                %service,
+                number,
+                instance = %primary,
+                "primary is draining and no other database can replace it"
+            );
+        }
         ControlLogEvent::InstanceChanged { key, what } => {
             tracing::info!(target: "control", instance = %key, what, "database changed");
         }
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -3,6 +3,7 @@
 use hawthornstack_decisions::{
     control_role::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
     identity::HostId,
+    instances::{InstanceDeparture, InstanceRecord},
     primaries::{ServiceTerm, TermPhase},
 };
 use tokio::{
@@ -177,9 +178,11 @@
             EntryUpdate::Hosts(hosts) => return self.dial_all(&hosts),
             EntryUpdate::EntryHosts(hosts) => shared.view.borrow_mut().set_entry_hosts(hosts),
             EntryUpdate::Announced(records) => {
+                log_newly_draining(&shared, host, &records);
                 shared.view.borrow_mut().record_announcements(now, &records)
             }
             EntryUpdate::Departed(departures) => {
+                log_departures(&shared, host, &departures);
                 shared.view.borrow_mut().record_departures(&departures)
             }
             EntryUpdate::Expired(departures) => {
@@ -306,6 +309,31 @@
     }
 }
 
+/// Logs databases that this host learns to be draining.
+fn log_newly_draining(shared: &EntryShared, control: HostId, records: &[InstanceRecord]) {
+    let view = shared.view.borrow();
+    for record in records.iter().filter(|record| record.draining) {
+        if view.instance(&record.key).is_none_or(|known| !known.draining) {
+            tracing::info!(
+                target: "entry",
+                instance = %record.key,
+                service = %record.service,
+                sequence = record.sequence,
+                %control,
+                "database is draining"
+            );
+        }
+    }
+}
+
+/// Logs databases that this host learns to have left.
+fn log_departures(shared: &EntryShared, control: HostId, departures: &[InstanceDeparture]) {
+    let view = shared.view.borrow();
+    for departure in departures.iter().filter(|gone| view.instance_by_id(&gone.id).is_some()) {
+        tracing::info!(target: "entry", instance = %departure.id, %control, "database has left");
+    }
+}
+
 /// Terms that a new state starts to fence for a planned change of primary.
 fn find_newly_planned(shared: &EntryShared, terms: &[ServiceTerm]) -> Vec<ServiceTerm> {
     let view = shared.view.borrow();
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -116,6 +116,15 @@
         /// The new state as text.
         what: Arc<str>,
     },
+    /// The primary of a service drains and no other database can replace it.
+    NoSuccessor {
+        /// The service.
+        service: Arc<str>,
+        /// Number of the service's term.
+        number: u64,
+        /// The primary.
+        primary: InstanceKey,
+    },
     /// A database appeared or changed.
     InstanceChanged {
         /// The database.
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -105,6 +105,9 @@
     /// Time at which this leader first saw the steady phase of a service's term
     /// of that number.
     pub(super) steady_since: BTreeMap<Arc<str>, (u64, Moment)>,
+    /// Services whose draining primary was logged as having no successor, with
+    /// the number of the term.
+    pub(super) without_successor: BTreeMap<Arc<str>, u64>,
     /// Commands, with the time at which each may be proposed again.
     pub(super) recent_proposals: Vec<(ControlCommand, Moment)>,
     pub(super) next_check_at: Moment,
@@ -402,6 +405,7 @@
             polls: BTreeMap::new(),
             changes: BTreeMap::new(),
             steady_since: BTreeMap::new(),
+            without_successor: BTreeMap::new(),
             recent_proposals: Vec::new(),
             next_check_at: now,
         });
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -4,12 +4,12 @@
     time::Duration,
 };
 
-use super::{ControlEffect, ControlHost, PromoteResult};
+use super::{ControlEffect, ControlHost, ControlLogEvent, PromoteResult};
 use crate::{
     clock::Moment,
     control_state::ControlCommand,
     identity::HostId,
-    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord, InstanceRole},
     primaries::{HolderView, InstanceStatus, ServiceTerm, TermChange, TermPhase, TermStep},
 };
 
@@ -28,6 +28,7 @@
             return;
         }
         self.record_steady_terms(now);
+        self.log_missing_successors();
         self.run_periodic_checks(now);
         for command in self.collect_commands(now) {
             self.propose_once(now, command);
@@ -76,6 +77,29 @@
         }
     }
 
+    /// Logs, once a term, that the primary drains and has no successor.
+    fn log_missing_successors(&mut self) {
+        let Some(leader_state) = &mut self.leader_state else {
+            return;
+        };
+        for term in self.control.terms.values().filter(|term| term.is_steady()) {
+            let draining =
+                self.directory.get(&term.primary.id).is_some_and(|record| record.draining);
+            if !draining
+                || has_successor(&self.directory, term)
+                || leader_state.without_successor.get(&term.service) == Some(&term.number)
+            {
+                continue;
+            }
+            leader_state.without_successor.insert(term.service.clone(), term.number);
+            self.effects.push(ControlEffect::Log(ControlLogEvent::NoSuccessor {
+                service: term.service.clone(),
+                number: term.number,
+                primary: term.primary.clone(),
+            }));
+        }
+    }
+
     fn collect_commands(&self, now: Moment) -> Vec<ControlCommand> {
         let mut commands = Vec::new();
         for record in self.directory.records() {
@@ -119,15 +143,11 @@
             Some((number, since)) if *number == term.number => *since,
             _ => now,
         };
-        let has_successor = self
-            .directory
-            .instances_of_service(&term.service)
-            .any(|record| record.key.id != term.primary.id && !record.draining);
         let polled =
             leader_state.polls.get(&term.service).filter(|(number, _)| *number == term.number);
         let suspected = polled
             .is_some_and(|(_, poll)| poll.is_confirmed(now, &self.hosts_with_live_lease(now)));
-        if !has_successor {
+        if !has_successor(&self.directory, term) {
             return None;
         }
         match &term.phase {
@@ -262,6 +282,13 @@
     }
 }
 
+/// True if a database other than the term's primary is known that does not drain.
+fn has_successor(directory: &InstanceDirectory, term: &ServiceTerm) -> bool {
+    directory
+        .instances_of_service(&term.service)
+        .any(|record| record.key.id != term.primary.id && !record.draining)
+}
+
 /// True if the database is primary of a service without a known primary, or is
 /// the known primary after a restart.
 fn is_unknown_primary(record: &InstanceRecord, term: Option<&ServiceTerm>) -> bool {
