--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -15,6 +15,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 const LEASE: Duration = Duration::from_millis(3_500);
+/// Time for which a database may be used after it announced that it drains.
+const DRAIN_PERIOD: Duration = Duration::from_secs(7);
 const FIRST_ENTRY: HostId = HostId(101);
 const SECOND_ENTRY: HostId = HostId(102);
 
@@ -127,6 +129,38 @@
     assert_ne!(&*term.primary.id, "a");
 }
 
+/// Renews the entry host's lease for a while, as it does itself.
+fn run_with_renewals(world: &mut ControlWorld, leader: HostId, time: Duration) {
+    let end = world.now + time;
+    while world.now < end {
+        world.renew_lease(leader, FIRST_ENTRY);
+        world.run((SECOND / 2).min(end.since(world.now)));
+    }
+}
+
+/// A primary that drains with no database to replace it must not be used for longer than a
+/// draining database may be.
+#[test]
+fn sole_draining_primary_is_fenced_before_its_drain_period_ends() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    for gone in [instance("b", 2, InstanceRole::Replica), instance("c", 3, InstanceRole::Replica)] {
+        world.instances.remove(&gone.key.id);
+        world.handle_event(leader, ControlEvent::Departed(departure_of(&gone)));
+    }
+    let primary = instance("a", 1, InstanceRole::Primary);
+    world.announce(leader, &InstanceRecord { sequence: 2, ..primary.clone() });
+    world.announce(leader, &InstanceRecord { draining: true, sequence: 3, ..primary });
+    run_with_renewals(&mut world, leader, DRAIN_PERIOD / 2);
+    assert!(term(&world, leader).is_steady(), "it may still be used");
+    run_with_renewals(&mut world, leader, DRAIN_PERIOD / 2);
+    assert_eq!(term(&world, leader).phase, TermPhase::Fencing { planned: true });
+    let told = |(to, update): &(HostId, EntryUpdate)| match update {
+        EntryUpdate::State { terms, .. } => *to == FIRST_ENTRY && !terms[0].is_steady(),
+        _ => false,
+    };
+    assert!(world.updates.iter().any(told), "the entry host was not told to stop");
+}
+
 #[test]
 fn next_leader_finishes_the_change_with_one_promoted_database() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
