End the term of a sole draining primary before its drain period does

Cause: the leader ended a draining primary's term only if another database could replace it. Without one the term stayed Steady, and nothing else limits the use of a draining database: entry hosts use the term's primary whether it drains or not, until it leaves. The drain period was not even read from the settings.

Ruled out: a host that did not hear of it (the leader had acknowledged it), a change that hung (no Fencing line), statements queued since before (2 and 3 ms from caller to database).

Change: the term ends 1 s before the drain period, also without a successor, and a database that has drained for that long is no longer chosen by a change of primary. It works because the end of a term is committed and obeyed by every host with a lease. The period counts from the last announcement that the database was not draining, which is never later than the true start; a host that got none takes it as over, so that restarts of control extend nothing. A database that joins later is promoted; the wait for it to catch up counts from when it joins.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -35,6 +35,9 @@
 /// Lease of an entry host: it serves this long without contact with the control
 /// leader, and a change of primary waits this long for a host that is cut off.
 const ENTRY_LEASE_DURATION: Duration = Duration::from_millis(3_500);
+/// Time before the end of a draining database's use at which its term ends: until
+/// then all entry hosts in contact with control must have stopped using it.
+const DRAIN_END_MARGIN: Duration = Duration::from_millis(1_000);
 /// Consecutive announcements that may be missed before a database is removed.
 const MISSED_ANNOUNCEMENT_LIMIT: u32 = 10;
 
@@ -55,18 +58,23 @@
     pub lease_duration: Duration,
     /// Time without an announcement after which a database is removed.
     pub announcement_lifetime: Duration,
+    /// Time for which a database may be used after it announced that it drains;
+    /// `None` for no limit.
+    pub drain_period: Option<Duration>,
     /// Random seed, different at every start.
     pub seed: u64,
 }
 
 impl ControlSettings {
     /// Settings with the default times, for databases that announce themselves
-    /// every `announcement_interval`.
+    /// every `announcement_interval` and may be used for `drain_period` once they
+    /// drain.
     pub fn new(
         host: HostId,
         seeds: BTreeSet<HostId>,
         bootstrap: bool,
         announcement_interval: Duration,
+        drain_period: Option<Duration>,
         seed: u64,
     ) -> Self {
         Self {
@@ -77,9 +85,15 @@
             heartbeat_interval: HEARTBEAT_INTERVAL,
             lease_duration: ENTRY_LEASE_DURATION,
             announcement_lifetime: announcement_interval * MISSED_ANNOUNCEMENT_LIMIT,
+            drain_period,
             seed,
         }
     }
+
+    /// Time after which a draining database is neither kept nor chosen as primary.
+    pub(super) fn drain_limit(&self) -> Option<Duration> {
+        self.drain_period.map(|period| period.saturating_sub(DRAIN_END_MARGIN))
+    }
 }
 
 /// State of an entry host as last reported.
@@ -354,7 +368,7 @@
                 self.pending_changes.services.insert(service.clone());
             }
             ControlCommand::InstanceSeen(record) => {
-                self.record_announcements(now, vec![record.clone()]);
+                self.restore_announcements(now, vec![record.clone()]);
                 return;
             }
             _ => return,
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -26,24 +26,28 @@
         }
     }
 
-    pub(super) fn apply_announcements(&mut self, now: Moment, records: Vec<InstanceRecord>) {
-        if self.record_announcements(now, records) {
+    pub(super) fn apply_announcements(&mut self, now: Moment, mut records: Vec<InstanceRecord>) {
+        records.retain(|record| {
+            self.directory.record_announcement(now, record) == DirectoryChange::Changed
+        });
+        if self.publish_instances(records) {
             self.run_leader_tasks(now);
         }
     }
 
-    /// Records announcements; true if any of them changed the directory.
-    pub(super) fn record_announcements(
+    /// Records earlier announcements from the log; true if any of them changed the
+    /// directory.
+    pub(super) fn restore_announcements(
         &mut self,
         now: Moment,
-        records: Vec<InstanceRecord>,
+        mut records: Vec<InstanceRecord>,
     ) -> bool {
-        let changed: Vec<InstanceRecord> = records
-            .into_iter()
-            .filter(|record| {
-                self.directory.record_announcement(now, record) == DirectoryChange::Changed
-            })
-            .collect();
+        records.retain(|record| self.directory.restore(now, record) == DirectoryChange::Changed);
+        self.publish_instances(records)
+    }
+
+    /// Sends changed records to entry hosts; true if there are any.
+    fn publish_instances(&mut self, changed: Vec<InstanceRecord>) -> bool {
         let any = !changed.is_empty();
         if any {
             self.broadcast_to_entry_hosts(EntryUpdate::Announced(changed));
@@ -56,7 +60,9 @@
     /// again.
     pub(super) fn restore_instances(&mut self, now: Moment) {
         let records: Vec<InstanceRecord> = self.control.instances.values().cloned().collect();
-        self.apply_announcements(now, records);
+        if self.restore_announcements(now, records) {
+            self.run_leader_tasks(now);
+        }
     }
 
     /// Records a departure announced to this host and forwards it.
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -10,7 +10,9 @@
     control_state::ControlCommand,
     identity::HostId,
     instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord, InstanceRole},
-    primaries::{HolderView, InstanceStatus, ServiceTerm, TermChange, TermPhase, TermStep},
+    primaries::{
+        HolderView, InstanceStatus, ServiceTerm, SuccessionRules, TermChange, TermPhase, TermStep,
+    },
 };
 
 /// Time for which the same command is not proposed again.
@@ -148,7 +150,9 @@
         let suspected = polled
             .is_some_and(|(_, poll)| poll.is_confirmed(now, &self.hosts_with_live_lease(now)));
         if !has_successor(&self.directory, term) {
-            return None;
+            let limit = self.settings.drain_limit();
+            let drained = self.directory.has_drained(now, &term.primary, limit);
+            return (term.is_steady() && drained).then_some(true);
         }
         match &term.phase {
             TermPhase::Steady if suspected => Some(false),
@@ -209,8 +213,11 @@
             };
             let routes = self.control.routes.as_ref();
             let service_rule = routes.and_then(|table| table.service(&term.service));
-            let sync_replicas = service_rule.map_or(0, |rule| rule.sync_replicas);
-            let next = change.next_steps(now, term, &self.directory, view, sync_replicas);
+            let rules = SuccessionRules {
+                sync_replicas: service_rule.map_or(0, |rule| rule.sync_replicas),
+                drain_limit: self.settings.drain_limit(),
+            };
+            let next = change.next_steps(now, term, &self.directory, view, rules);
             steps.extend(next.into_iter().map(|step| (term.clone(), step)));
             changes.insert(term.service.clone(), change);
         }
--- a/crates/decisions/src/instances/instance_directory.rs
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -18,6 +18,9 @@
 struct KnownInstance {
     record: InstanceRecord,
     announced_at: Moment,
+    /// Last announcement that it does not drain; `None` if this host got none, but
+    /// restored the record.
+    serving_at: Option<Moment>,
 }
 
 /// Databases by id, as their newest announcements describe them.
@@ -35,10 +38,23 @@
 impl InstanceDirectory {
     /// Records an announcement.
     pub fn record_announcement(&mut self, now: Moment, record: &InstanceRecord) -> DirectoryChange {
+        let change = self.restore(now, record);
+        if change != DirectoryChange::Stale
+            && !record.draining
+            && let Some(known) = self.instances.get_mut(&record.key.id)
+        {
+            known.serving_at = Some(now);
+        }
+        change
+    }
+
+    /// Records an earlier announcement whose age is not known.
+    pub fn restore(&mut self, now: Moment, record: &InstanceRecord) -> DirectoryChange {
         let id = &record.key.id;
         if self.departed.get(id).is_some_and(|born| record.key.born_ms <= *born) {
             return DirectoryChange::Stale;
         }
+        let mut serving_at = None;
         if let Some(known) = self.instances.get_mut(id) {
             let version = (record.key.born_ms, record.sequence);
             if version <= (known.record.key.born_ms, known.record.sequence) {
@@ -49,11 +65,14 @@
                 known.record = record.clone();
                 return DirectoryChange::Refreshed;
             }
+            if known.record.key == record.key {
+                serving_at = known.serving_at;
+            }
         }
         if !self.claim_address(record) {
             return DirectoryChange::Stale;
         }
-        let instance = KnownInstance { record: record.clone(), announced_at: now };
+        let instance = KnownInstance { record: record.clone(), announced_at: now, serving_at };
         self.instances.insert(id.clone(), instance);
         DirectoryChange::Changed
     }
@@ -120,6 +139,18 @@
         self.instances.get(id).map(|known| now.since(known.announced_at))
     }
 
+    /// True if this start of a database drains and may have done so for `limit`: that
+    /// long ago, or never, this host got an announcement that it did not drain.
+    pub fn has_drained(&self, now: Moment, key: &InstanceKey, limit: Option<Duration>) -> bool {
+        let draining = self
+            .instances
+            .get(&key.id)
+            .filter(|known| known.record.key == *key && known.record.draining);
+        draining.zip(limit).is_some_and(|(known, limit)| {
+            known.serving_at.is_none_or(|serving_at| now.since(serving_at) >= limit)
+        })
+    }
+
     /// Databases of a service.
     pub fn instances_of_service<'a>(
         &'a self,
--- a/crates/decisions/src/primaries/mod.rs
+++ b/crates/decisions/src/primaries/mod.rs
@@ -6,4 +6,4 @@
 
 pub use service_term::{ServiceTerm, TermPhase};
 pub use suspicion_poll::SuspicionPoll;
-pub use term_change::{HolderView, InstanceStatus, TermChange, TermStep};
+pub use term_change::{HolderView, InstanceStatus, SuccessionRules, TermChange, TermStep};
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -61,6 +61,8 @@
     since_index: u64,
     started_at: Moment,
     fenced_at: Option<Moment>,
+    /// Time since which, after the fencing, there has been a candidate.
+    candidates_since: Option<Moment>,
     statuses: BTreeMap<InstanceKey, InstanceStatus>,
     asked_at: BTreeMap<InstanceKey, Moment>,
     promoted_at: Option<Moment>,
@@ -79,6 +81,15 @@
     pub applied: &'a BTreeMap<HostId, u64>,
 }
 
+/// Rules for the choice of a service's next primary.
+#[derive(Debug, Clone, Copy)]
+pub struct SuccessionRules {
+    /// Number of replicas that hold each acknowledged commit.
+    pub sync_replicas: u32,
+    /// Time after which a draining database is no longer chosen; `None` for no limit.
+    pub drain_limit: Option<Duration>,
+}
+
 impl TermChange {
     /// Creates the state for a change that this leader starts to handle.
     pub fn new(now: Moment, term: &ServiceTerm) -> Self {
@@ -86,6 +97,7 @@
             since_index: term.since_index,
             started_at: now,
             fenced_at: None,
+            candidates_since: None,
             statuses: BTreeMap::new(),
             asked_at: BTreeMap::new(),
             promoted_at: None,
@@ -127,7 +139,7 @@
         term: &ServiceTerm,
         directory: &InstanceDirectory,
         view: HolderView<'_>,
-        sync_replicas: u32,
+        rules: SuccessionRules,
     ) -> Vec<TermStep> {
         if self.proposed {
             return Vec::new();
@@ -138,7 +150,7 @@
                 if !self.check_fenced(now, view) {
                     return Vec::new();
                 }
-                self.select_successor(now, term, directory, *planned, sync_replicas)
+                self.select_successor(now, term, directory, *planned, rules)
             }
             TermPhase::Promoting { chosen } => self.plan_promotion(now, chosen, directory),
         }
@@ -167,19 +179,31 @@
         term: &ServiceTerm,
         directory: &InstanceDirectory,
         planned: bool,
-        sync_replicas: u32,
+        rules: SuccessionRules,
     ) -> Vec<TermStep> {
-        let waited = now.since(self.fenced_at.unwrap_or(now));
-        let old_primary_allowed = !planned && waited >= OLD_PRIMARY_EXCLUSION;
+        let sync_replicas = rules.sync_replicas;
+        let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= OLD_PRIMARY_EXCLUSION;
+        let is_candidate = |record: &InstanceRecord| {
+            let drained = directory.has_drained(now, &record.key, rules.drain_limit);
+            let replaced = planned && record.key == term.primary;
+            let allowed = record.key.id != term.primary.id || old_primary_allowed;
+            allowed && !replaced && !drained
+        };
         let candidates: Vec<&InstanceRecord> = directory
             .instances_of_service(&term.service)
-            .filter(|record| old_primary_allowed || record.key.id != term.primary.id)
+            .filter(|record| is_candidate(record))
             .collect();
-        let required_position = match planned && waited < CATCH_UP_TIMEOUT {
+        if candidates.is_empty() {
+            self.candidates_since = None;
+            return Vec::new();
+        }
+        let waited = now.since(*self.candidates_since.get_or_insert(now));
+        let awaits_catch_up =
+            planned && waited < CATCH_UP_TIMEOUT && directory.get_by_key(&term.primary).is_some();
+        let required_position = match awaits_catch_up {
             true => self.statuses.get(&term.primary).map(|status| status.received),
             false => None,
         };
-        let awaits_catch_up = planned && waited < CATCH_UP_TIMEOUT;
         let answer_count = candidates.iter().filter(|r| self.statuses.contains_key(&r.key)).count();
         let all_answered = answer_count == candidates.len();
         // An acknowledged commit is on at least `sync_replicas` databases. If
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -92,6 +92,7 @@
             heartbeat_interval: Duration::from_millis(125),
             lease_duration: Duration::from_millis(3_500),
             announcement_lifetime: Duration::from_secs(12),
+            drain_period: Some(Duration::from_secs(7)),
             // The agreement mixes the host's number into the seed; equal
             // results would make hosts draw the same election timeouts forever.
             seed: (self.count + 1) * 1_000_003 + u64::from(id.0) * 8_191,
--- a/crates/decisions/tests/instance_directory.rs
+++ b/crates/decisions/tests/instance_directory.rs
@@ -93,6 +93,33 @@
     );
 }
 
+/// A drain period must count from before the announcement of it, which may have been made
+/// to another host or before a restart.
+#[test]
+fn drain_counts_from_the_last_announcement_without_it() {
+    let second = Duration::from_secs(1);
+    let limit = Some(3 * second);
+    let key = record("a", 1, 1, 80).key;
+    let mut directory = InstanceDirectory::default();
+    directory.record_announcement(NOW, &record("a", 1, 1, 80));
+    assert!(!directory.has_drained(NOW + 9 * second, &key, limit));
+    directory.record_announcement(NOW + second, &record("a", 1, 2, 80));
+    let draining = InstanceRecord { draining: true, ..record("a", 1, 3, 80) };
+    directory.record_announcement(NOW + 2 * second, &draining);
+    let repeated = InstanceRecord { sequence: 4, ..draining.clone() };
+    directory.record_announcement(NOW + 3 * second, &repeated);
+    assert!(!directory.has_drained(NOW + 3 * second, &key, limit));
+    assert!(directory.has_drained(NOW + 4 * second, &key, limit));
+    assert!(!directory.has_drained(NOW + 4 * second, &key, None));
+
+    let mut restarted = InstanceDirectory::default();
+    restarted.restore(NOW, &record("a", 1, 1, 80));
+    restarted.record_announcement(NOW, &draining);
+    assert!(restarted.has_drained(NOW, &key, limit));
+    restarted.record_announcement(NOW, &record("a", 2, 1, 80));
+    assert!(!restarted.has_drained(NOW, &InstanceKey { born_ms: 2, ..key }, limit));
+}
+
 proptest! {
     #[test]
     fn order_of_arrival_does_not_matter(
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -138,10 +138,8 @@
     }
 }
 
-/// A primary that drains with no database to replace it must not be used for longer than a
-/// draining database may be.
-#[test]
-fn sole_draining_primary_is_fenced_before_its_drain_period_ends() {
+/// A service whose primary is its only database and drains.
+fn world_with_sole_draining_primary() -> (ControlWorld, HostId) {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
     for gone in [instance("b", 2, InstanceRole::Replica), instance("c", 3, InstanceRole::Replica)] {
         world.instances.remove(&gone.key.id);
@@ -150,6 +148,14 @@
     let primary = instance("a", 1, InstanceRole::Primary);
     world.announce(leader, &InstanceRecord { sequence: 2, ..primary.clone() });
     world.announce(leader, &InstanceRecord { draining: true, sequence: 3, ..primary });
+    (world, leader)
+}
+
+/// A primary that drains with no database to replace it must not be used for longer than a
+/// draining database may be.
+#[test]
+fn sole_draining_primary_is_fenced_before_its_drain_period_ends() {
+    let (mut world, leader) = world_with_sole_draining_primary();
     run_with_renewals(&mut world, leader, DRAIN_PERIOD / 2);
     assert!(term(&world, leader).is_steady(), "it may still be used");
     run_with_renewals(&mut world, leader, DRAIN_PERIOD / 2);
@@ -161,6 +167,37 @@
     assert!(world.updates.iter().any(told), "the entry host was not told to stop");
 }
 
+/// A control host that does not know since when a database drains must not count its drain
+/// period from its own start.
+#[test]
+fn restart_of_control_does_not_extend_a_drain_period() {
+    let (mut world, _) = world_with_sole_draining_primary();
+    world.run(SECOND);
+    for id in [1, 2, 3] {
+        world.kill(HostId(id));
+    }
+    world.run(4 * SECOND);
+    for id in [1, 2, 3] {
+        world.boot(HostId(id), false);
+    }
+    world.run(2 * SECOND);
+    let leader = world.leader().expect("a leader");
+    assert_eq!(term(&world, leader).phase, TermPhase::Fencing { planned: true });
+}
+
+/// A service whose sole primary has drained must be served again once a database joins it.
+#[test]
+fn late_successor_of_a_drained_primary_is_promoted() {
+    let (mut world, leader) = world_with_sole_draining_primary();
+    run_with_renewals(&mut world, leader, 2 * DRAIN_PERIOD);
+    assert!(world.promoted.is_empty());
+    world.announce(leader, &instance("d", 4, InstanceRole::Replica));
+    run_with_renewals(&mut world, leader, 3 * SECOND);
+    let term = term(&world, leader);
+    assert!(term.is_steady());
+    assert_eq!(&*term.primary.id, "d");
+}
+
 #[test]
 fn next_leader_finishes_the_change_with_one_promoted_database() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
