Refuse statements at once while their service has no database

Cause: an entry host did not tell 'the primary is being replaced', which takes some hundred ms, from 'no database could replace it'; both waited for the whole timeout of the route.

Ruled out: a missing lease (has_lease=true).

It works because a database that joins announces itself first; until then no host can promote one.

--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -72,6 +72,8 @@
     NoConnection,
     /// No primary became usable in time.
     NoPrimary,
+    /// The service has no database that is or could become its primary.
+    ServiceEmpty,
 }
 
 /// Requirements and time limits of a statement.
@@ -123,8 +125,12 @@
         let now = shared.now();
         let changed = shared.changed.notified();
         let (record, term_number, after) = match choose_database(shared, now, limits, tried) {
-            Some(choice) => choice,
-            None => {
+            DatabaseChoice::Use(record, term_number, after) => (record, term_number, after),
+            DatabaseChoice::Refuse => {
+                record_wait_for_primary(shared, now, service, trace);
+                return Err(AssignError::ServiceEmpty);
+            }
+            DatabaseChoice::Wait => {
                 record_wait_for_primary(shared, now, service, trace);
                 if timeout_at(limits.deadline, changed).await.is_err() {
                     return Err(AssignError::NoPrimary);
@@ -222,16 +228,23 @@
     trace.record(now, TraceStep::WaitedForPrimary { has_lease: view.has_lease(now), term });
 }
 
-/// A database, the term if it is the primary, and the position that a replica must
-/// have applied.
-type DatabaseChoice = (InstanceRecord, Option<u64>, Option<LogPosition>);
+/// Where a statement may run.
+enum DatabaseChoice {
+    /// At this database: in this term if it is the primary, else once it has applied
+    /// the position.
+    Use(InstanceRecord, Option<u64>, Option<LogPosition>),
+    /// Nowhere until the primary is replaced or the lease renewed.
+    Wait,
+    /// Nowhere until another database joins the service.
+    Refuse,
+}
 
 fn choose_database(
     shared: &EntryShared,
     now: Moment,
     limits: &RunLimits<'_>,
     tried: &[InstanceKey],
-) -> Option<DatabaseChoice> {
+) -> DatabaseChoice {
     let view = shared.view.borrow();
     let service = &limits.route.service;
     if !limits.needs_primary && limits.route.kind != RouteKind::Primary {
@@ -239,14 +252,15 @@
         if let ReadTarget::Replica { record, position } =
             view.read_target(now, service, requirement, tried)
         {
-            return Some((record, None, Some(position)));
+            return DatabaseChoice::Use(record, None, Some(position));
         }
     }
     match view.primary(now, service) {
         PrimaryAvailability::Usable { record, number: term_number } => {
-            Some((record, Some(term_number), None))
+            DatabaseChoice::Use(record, Some(term_number), None)
         }
-        PrimaryAvailability::Unavailable => None,
+        PrimaryAvailability::Unavailable => DatabaseChoice::Wait,
+        PrimaryAvailability::Missing => DatabaseChoice::Refuse,
     }
 }
 
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -59,8 +59,11 @@
         /// Number of the term; checked again when the answer arrives.
         number: u64,
     },
-    /// Not now: there is no lease, no known primary, or the primary is being replaced.
+    /// Not now: there is no lease, or the primary is being replaced.
     Unavailable,
+    /// Not before another database joins: the primary is unknown or may not be used any
+    /// more, and no database is known that could replace it.
+    Missing,
 }
 
 /// What a read must see.
@@ -273,14 +276,19 @@
         if !self.has_lease(now) {
             return PrimaryAvailability::Unavailable;
         }
-        let Some(term) = self.terms.get(service).filter(|term| term.is_steady()) else {
-            return PrimaryAvailability::Unavailable;
-        };
-        match self.directory.get_by_key(&term.primary) {
-            Some(record) => {
-                PrimaryAvailability::Usable { record: record.clone(), number: term.number }
-            }
-            None => PrimaryAvailability::Unavailable,
+        let term = self.terms.get(service);
+        if let Some(term) = term.filter(|term| term.is_steady())
+            && let Some(record) = self.directory.get_by_key(&term.primary)
+        {
+            return PrimaryAvailability::Usable { record: record.clone(), number: term.number };
+        }
+        let has_candidate = self
+            .directory
+            .instances_of_service(service)
+            .any(|record| term.is_none_or(|term| term.primary != record.key));
+        match has_candidate {
+            true => PrimaryAvailability::Unavailable,
+            false => PrimaryAvailability::Missing,
         }
     }
 
@@ -349,7 +357,7 @@
         };
         let primary = match self.primary(now, service) {
             PrimaryAvailability::Usable { record, .. } => Some(record),
-            PrimaryAvailability::Unavailable => None,
+            PrimaryAvailability::Unavailable | PrimaryAvailability::Missing => None,
         };
         let replicas = self
             .directory
