Start a successor's term only once its promotion has taken effect

Cause: the leader started the successor's term as soon as its announcement or its status said 'primary'. A former primary says so until it is demoted, a second and more after it can reach the next one. When primaries change back and forth, A to B to A, A's term started at once, before the platform had promoted it, and all waiting writes went to A while B's term still counted.

Evidence: the schedule of former_primary_leads_again_only_once_it_is_promoted; it failed before ('Steady' 200 ms after the call, the promotion takes 333 ms).

Change: the choice records the highest term that the databases counted (above_term), and the next term starts when the chosen one is primary of a higher one by its own status. An announced role only says that it is time to ask. A present primary that is chosen again keeps its term, as the platform does. The command and the phase of a term carry the new field; records without it are read as before (test).

--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -237,8 +237,10 @@
                     self.effects.push(ControlEffect::AskStatus { key, service, address });
                 }
             }
-            TermStep::Choose(chosen) => {
-                self.propose(now, ControlCommand::ServicePrimaryChosen { service, number, chosen });
+            TermStep::Choose { chosen, above_term } => {
+                let command =
+                    ControlCommand::ServicePrimaryChosen { service, number, chosen, above_term };
+                self.propose(now, command);
             }
             TermStep::Promote(key) => {
                 let fence = self.agreement.term();
--- a/crates/decisions/src/control_state/control_command.rs
+++ b/crates/decisions/src/control_state/control_command.rs
@@ -114,6 +114,9 @@
         number: u64,
         /// Chosen database.
         chosen: InstanceKey,
+        /// Term, as databases count them, above which it must lead.
+        #[serde(default)]
+        above_term: u64,
     },
     /// The chosen database is primary: the next term starts.
     ServiceTermStarted {
--- a/crates/decisions/src/control_state/replicated_state.rs
+++ b/crates/decisions/src/control_state/replicated_state.rs
@@ -139,8 +139,8 @@
             ControlCommand::ServiceTermEnded { service, number, planned } => {
                 self.end_service_term(service, *number, *planned);
             }
-            ControlCommand::ServicePrimaryChosen { service, number, chosen } => {
-                self.choose_service_primary(service, *number, chosen);
+            ControlCommand::ServicePrimaryChosen { service, number, chosen, above_term } => {
+                self.choose_service_primary(service, *number, chosen, *above_term);
             }
             ControlCommand::ServiceTermStarted { service, number } => {
                 self.start_service_term(service, *number);
--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -88,13 +88,14 @@
         service: &Arc<str>,
         number: u64,
         chosen: &InstanceKey,
+        above_term: u64,
     ) {
         let since_index = self.applied;
         if let Some(term) = self.terms.get_mut(service)
             && term.number == number
             && matches!(term.phase, TermPhase::Fencing { .. })
         {
-            term.phase = TermPhase::Promoting { chosen: chosen.clone() };
+            term.phase = TermPhase::Promoting { chosen: chosen.clone(), above_term };
             term.since_index = since_index;
         }
     }
@@ -103,7 +104,7 @@
         let since_index = self.applied;
         if let Some(term) = self.terms.get_mut(service)
             && term.number == number
-            && let TermPhase::Promoting { chosen } = &term.phase
+            && let TermPhase::Promoting { chosen, .. } = &term.phase
         {
             term.primary = chosen.clone();
             term.number += 1;
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -19,6 +19,10 @@
     Promoting {
         /// The successor.
         chosen: InstanceKey,
+        /// It leads once it is primary of a higher term than this, as databases
+        /// count them. 0 in records of older builds.
+        #[serde(default)]
+        above_term: u64,
     },
 }
 
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -44,8 +44,13 @@
 pub enum TermStep {
     /// Ask a database for its status.
     AskStatus(InstanceKey),
-    /// Commit this database as the successor.
-    Choose(InstanceKey),
+    /// Commit a database as the successor.
+    Choose {
+        /// The database.
+        chosen: InstanceKey,
+        /// Term, as databases count them, above which it must lead.
+        above_term: u64,
+    },
     /// Ask the platform to promote this database.
     Promote(InstanceKey),
     /// Commit the start of the successor's term.
@@ -152,7 +157,9 @@
                 }
                 self.select_successor(now, term, directory, *planned, rules)
             }
-            TermPhase::Promoting { chosen } => self.plan_promotion(now, chosen, directory),
+            TermPhase::Promoting { chosen, above_term } => {
+                self.plan_promotion(now, chosen, *above_term, directory)
+            }
         }
     }
 
@@ -218,9 +225,10 @@
             (false, _) if sync_replicas > 0 => has_enough_answers,
             (false, _) => all_answered || waited >= STATUS_TIMEOUT,
         };
-        if ready && let Some((key, _)) = self.best_candidate(term, &candidates) {
+        if ready && let Some((chosen, status)) = self.best_candidate(term, &candidates) {
             self.proposed = true;
-            return vec![TermStep::Choose(key)];
+            let above_term = self.term_to_exceed(term, &chosen, status);
+            return vec![TermStep::Choose { chosen, above_term }];
         }
         let old_primary = planned.then(|| term.primary.clone());
         let keys: Vec<InstanceKey> =
@@ -245,6 +253,22 @@
             .map(|(record, status)| (record.key.clone(), status))
     }
 
+    /// Term above which the chosen database leads: the highest known one, since a
+    /// former primary may call itself primary of its own term. If the primary itself
+    /// is chosen again, its present term counts, as the platform keeps that one.
+    fn term_to_exceed(
+        &self,
+        term: &ServiceTerm,
+        chosen: &InstanceKey,
+        status: InstanceStatus,
+    ) -> u64 {
+        let highest = self.statuses.values().map(|status| status.term).max().unwrap_or(0);
+        let stays_primary = chosen.id == term.primary.id
+            && status.role == InstanceRole::Primary
+            && status.term == highest;
+        if stays_primary { highest.saturating_sub(1) } else { highest }
+    }
+
     fn request_status(&mut self, now: Moment, key: InstanceKey) -> Option<TermStep> {
         let asked_at = self.asked_at.get(&key);
         if asked_at.is_some_and(|at| now.since(*at) < STATUS_RETRY_INTERVAL) {
@@ -258,14 +282,14 @@
         &mut self,
         now: Moment,
         chosen: &InstanceKey,
+        above_term: u64,
         directory: &InstanceDirectory,
     ) -> Vec<TermStep> {
-        let record = directory.get(&chosen.id);
-        let announced_primary =
-            record.is_some_and(|r| r.role == InstanceRole::Primary && r.key == *chosen);
-        let reported_primary =
-            self.statuses.get(chosen).is_some_and(|status| status.role == InstanceRole::Primary);
-        if announced_primary || reported_primary {
+        let leads = self
+            .statuses
+            .get(chosen)
+            .is_some_and(|status| status.role == InstanceRole::Primary && status.term > above_term);
+        if leads {
             self.proposed = true;
             return vec![TermStep::Start];
         }
@@ -279,8 +303,15 @@
             self.promoted_at = Some(now);
             steps.push(TermStep::Promote(chosen.clone()));
         }
+        // An announced role does not tell in which term, but that it is time to ask.
+        let announced_primary =
+            directory.get_by_key(chosen).is_some_and(|r| r.role == InstanceRole::Primary);
+        let interval = match announced_primary {
+            true => STATUS_RETRY_INTERVAL,
+            false => 3 * STATUS_RETRY_INTERVAL,
+        };
         let asked_at = self.asked_at.get(chosen).copied().unwrap_or(self.started_at);
-        if now.since(asked_at) >= 3 * STATUS_RETRY_INTERVAL {
+        if now.since(asked_at) >= interval {
             self.asked_at.insert(chosen.clone(), now);
             steps.push(TermStep::AskStatus(chosen.clone()));
         }
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -43,8 +43,21 @@
 }
 
 enum SimulatedEvent {
-    Delivered { to: HostId, boot: u64, event: ControlEvent },
-    Synced { host: HostId, boot: u64, number: u64, records: Vec<JournalRecord> },
+    Delivered {
+        to: HostId,
+        boot: u64,
+        event: ControlEvent,
+    },
+    Synced {
+        host: HostId,
+        boot: u64,
+        number: u64,
+        records: Vec<JournalRecord>,
+    },
+    /// The promotion of a database takes effect.
+    Promoted {
+        id: Arc<str>,
+    },
 }
 
 pub struct ControlWorld {
@@ -55,6 +68,10 @@
     pub updates: Vec<(HostId, EntryUpdate)>,
     pub promoted: Vec<(Moment, HostId, InstanceKey, u64)>,
     pub instances: BTreeMap<Arc<str>, InstanceRecord>,
+    /// Terms that databases lead or follow, 1 unless listed.
+    pub database_terms: BTreeMap<Arc<str>, u64>,
+    /// Time from the call to the moment at which a database leads.
+    pub promotion_time: Duration,
     seeds: BTreeSet<HostId>,
     queue: BTreeMap<(Moment, u64), SimulatedEvent>,
     count: u64,
@@ -72,6 +89,8 @@
             updates: Vec::new(),
             promoted: Vec::new(),
             instances: BTreeMap::new(),
+            database_terms: BTreeMap::new(),
+            promotion_time: Duration::ZERO,
             seeds: seeds.clone(),
             queue: BTreeMap::new(),
             count: 0,
@@ -264,6 +283,7 @@
                     self.step(to, event);
                 }
             }
+            SimulatedEvent::Promoted { id } => self.promote(&id),
             SimulatedEvent::Synced { host, boot, number, records } => {
                 let Some(state) = self.hosts.get_mut(&host).filter(|h| h.boot == boot) else {
                     return;
@@ -276,6 +296,15 @@
         }
     }
 
+    /// Makes a database lead the next term. The old primary does not notice.
+    fn promote(&mut self, id: &Arc<str>) {
+        let newest = self.database_terms.values().max().copied().unwrap_or(1);
+        if let Some(record) = self.instances.get_mut(id) {
+            record.role = InstanceRole::Primary;
+            self.database_terms.insert(id.clone(), newest + 1);
+        }
+    }
+
     fn schedule(&mut self, delay: Duration, event: SimulatedEvent) {
         self.count += 1;
         self.queue.insert((self.now + delay, self.count), event);
@@ -344,7 +373,7 @@
             ControlEffect::AskStatus { key, .. } => {
                 let status = self.instances.get(&key.id).map(|record| InstanceStatus {
                     role: record.role,
-                    term: 1,
+                    term: self.database_terms.get(&key.id).copied().unwrap_or(1),
                     received: LogPosition::new(1, 1),
                 });
                 let boot = self.hosts[&id].boot;
@@ -353,14 +382,15 @@
             }
             ControlEffect::Promote { service, key, fence } => {
                 self.promoted.push((self.now, id, key.clone(), fence));
-                let record = self.instances.get_mut(&key.id);
-                let result = match record {
-                    Some(record) => {
-                        record.role = InstanceRole::Primary;
-                        PromoteResult::Accepted
-                    }
-                    None => PromoteResult::NotRunning,
+                let result = match self.instances.contains_key(&key.id) {
+                    true => PromoteResult::Accepted,
+                    false => PromoteResult::NotRunning,
                 };
+                let promoted = SimulatedEvent::Promoted { id: key.id.clone() };
+                match self.promotion_time.is_zero() {
+                    true => self.promote(&key.id),
+                    false => self.schedule(self.promotion_time, promoted),
+                }
                 let boot = self.hosts[&id].boot;
                 let event = ControlEvent::PromoteAnswered { service, key, result };
                 self.schedule(2 * LINK_DELAY, SimulatedEvent::Delivered { to: id, boot, event });
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -48,7 +48,8 @@
 }
 
 fn report_reachability(world: &mut ControlWorld, leader: HostId, entry: HostId, reachable: bool) {
-    let report = EntryReport::PrimaryReachable { service: "books".into(), number: 1, reachable };
+    let number = term(world, leader).number;
+    let report = EntryReport::PrimaryReachable { service: "books".into(), number, reachable };
     world.handle_event(leader, ControlEvent::Entry(entry, report));
 }
 
@@ -129,6 +130,31 @@
     assert_ne!(&*term.primary.id, "a");
 }
 
+/// A database that was primary before may still say so; its next term must not start before
+/// its promotion has taken effect, since until then writes there belong to the old term.
+#[test]
+fn former_primary_leads_again_only_once_it_is_promoted() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    let gone = instance("c", 3, InstanceRole::Replica);
+    world.instances.remove(&gone.key.id);
+    world.handle_event(leader, ControlEvent::Departed(departure_of(&gone)));
+    world.promotion_time = SECOND / 3;
+    for primary in ["b", "a"] {
+        report_reachability(&mut world, leader, FIRST_ENTRY, false);
+        world.run(SECOND / 100);
+        world.renew_lease(leader, FIRST_ENTRY);
+        world.run(SECOND / 5);
+        let TermPhase::Promoting { chosen, .. } = term(&world, leader).phase else {
+            panic!("{primary}: {:?}", term(&world, leader));
+        };
+        assert_eq!(&*chosen.id, primary);
+        world.run(SECOND / 2);
+        let term = term(&world, leader);
+        assert!(term.is_steady());
+        assert_eq!(&*term.primary.id, primary);
+    }
+}
+
 /// Renews the entry host's lease for a while, as it does itself.
 fn run_with_renewals(world: &mut ControlWorld, leader: HostId, time: Duration) {
     let end = world.now + time;
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -173,7 +173,7 @@
     vec![
         json!("Steady"),
         json!({ "Fencing": { "planned": true } }),
-        json!({ "Promoting": { "chosen": instance_key() } }),
+        json!({ "Promoting": { "chosen": instance_key(), "above_term": 4 } }),
     ]
 }
 
@@ -226,7 +226,7 @@
         json!({ "ServicePrimaryKnown": { "service": "books", "primary": instance_key() } }),
         json!({ "ServiceTermEnded": { "service": "books", "number": 5, "planned": false } }),
         json!({ "ServicePrimaryChosen": {
-            "service": "books", "number": 5, "chosen": instance_key()
+            "service": "books", "number": 5, "chosen": instance_key(), "above_term": 4
         } }),
         json!({ "ServiceTermStarted": { "service": "books", "number": 5 } }),
     ]
@@ -455,6 +455,19 @@
     insta::assert_snapshot!("route_kinds", all_variants::<RouteKind>(&kinds));
 }
 
+/// A journal of an older build names no term that a chosen primary must exceed.
+#[test]
+fn promotions_of_older_builds_are_read() {
+    let phase: TermPhase =
+        serde_json::from_value(json!({ "Promoting": { "chosen": instance_key() } })).unwrap();
+    assert!(matches!(phase, TermPhase::Promoting { above_term: 0, .. }));
+    let command: ControlCommand = serde_json::from_value(json!({ "ServicePrimaryChosen": {
+        "service": "books", "number": 5, "chosen": instance_key()
+    } }))
+    .unwrap();
+    assert!(matches!(command, ControlCommand::ServicePrimaryChosen { above_term: 0, .. }));
+}
+
 #[test]
 fn databases() {
     let status = json!({
