Confirm the end of a term only after the writes of that term

Callers could be told that a write succeeded which the next primary lacks.

Cause: in a planned change each entry host waits for its open writes, up to 400 ms, before it reports the end of the term as applied. A state that arrived meanwhile, such as another service's change or a configuration, was reported at once with its higher index, which covers the earlier one. The leader then read the old primary's position and chose the successor while writes of the old term were still open and would still be acknowledged. A release of two services at a time makes this common.

Change: StateConfirmations keeps the states that wait; what is reported never passes the first of them. It works because the leader compares indexes only.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -2,6 +2,7 @@
 
 use hawthornstack_decisions::{
     control_role::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
+    entry_role::StateConfirmations,
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
     primaries::{ServiceTerm, TermPhase},
@@ -36,8 +37,9 @@
     Opened(HostId),
     Closed(HostId),
     Update(HostId, EntryUpdate),
-    /// Index of a state that this host may report as applied.
-    Applied(u64),
+    /// The writes of the terms that the state at this index ended are no longer
+    /// open.
+    WritesEnded(u64),
 }
 
 struct ControlLink {
@@ -54,9 +56,7 @@
     links: BTreeMap<HostId, ControlLink>,
     leader: Option<HostId>,
     events: mpsc::UnboundedSender<LinkEvent>,
-    /// Index of the newest state that is applied and, where it starts a planned
-    /// change of primary, drained of writes.
-    confirmed_index: u64,
+    confirmations: StateConfirmations,
 }
 
 impl ControlLinks {
@@ -67,8 +67,13 @@
     ) {
         let (events, mut received) = mpsc::unbounded_channel();
         let seeds = shared.settings.seeds.clone();
-        let mut links =
-            Self { shared, links: BTreeMap::new(), leader: None, events, confirmed_index: 0 };
+        let mut links = Self {
+            shared,
+            links: BTreeMap::new(),
+            leader: None,
+            events,
+            confirmations: StateConfirmations::default(),
+        };
         links.dial_all(&seeds);
         let mut renew_at = Instant::now();
         loop {
@@ -133,11 +138,9 @@
                 }
                 self.apply_update(host, update);
             }
-            LinkEvent::Applied(index) => {
-                if index > self.confirmed_index {
-                    self.confirmed_index = index;
-                    self.renew_leader();
-                }
+            LinkEvent::WritesEnded(index) => {
+                self.confirmations.record_writes_ended(index);
+                self.renew_leader();
             }
         }
     }
@@ -198,11 +201,11 @@
     /// Confirms that a state is applied. If it starts a planned change of primary,
     /// waits until the open writes have ended, for `PLANNED_DRAIN_TIMEOUT` at most.
     fn confirm_applied(&mut self, index: u64, planned: Vec<ServiceTerm>) {
-        let (shared, events) = (self.shared.clone(), self.events.clone());
+        self.confirmations.record_applied(index, !planned.is_empty());
         if planned.is_empty() {
-            let _ = events.send(LinkEvent::Applied(index));
-            return;
+            return self.renew_leader();
         }
+        let (shared, events) = (self.shared.clone(), self.events.clone());
         let tasks = shared.tasks.clone();
         tasks.spawn_local(async move {
             let deadline = Instant::now() + PLANNED_DRAIN_TIMEOUT;
@@ -213,7 +216,7 @@
                     break;
                 }
             }
-            let _ = events.send(LinkEvent::Applied(index));
+            let _ = events.send(LinkEvent::WritesEnded(index));
         });
     }
 
@@ -260,7 +263,7 @@
         let view = self.shared.view.borrow();
         let report = EntryReport::Renew {
             sent_at: self.shared.now(),
-            applied: self.confirmed_index,
+            applied: self.confirmations.confirmed(),
             routes_version: view.routes_version(),
             leaving: self.shared.stage.get() != ShutdownStage::Serving,
         };
--- a/crates/decisions/src/entry_role/mod.rs
+++ b/crates/decisions/src/entry_role/mod.rs
@@ -9,6 +9,7 @@
 mod queue_order;
 mod sampled_positions;
 mod session_state;
+mod state_confirmations;
 
 pub use connection_state::{ConnectionState, RestoreStep};
 pub use entry_view::{DatabasePath, EntryView, PrimaryAvailability, ReadRequirement, ReadTarget};
@@ -18,3 +19,4 @@
 pub use queue_order::{QueuedStatement, next_in_queue};
 pub use sampled_positions::SampledPositions;
 pub use session_state::{PreparedStatement, SessionState, TransactionPhase};
+pub use state_confirmations::StateConfirmations;
