Accept no answer to a write once the end of its term is confirmed

Cause: after PLANNED_DRAIN_TIMEOUT an entry host confirms the end of the term although writes are still open, but went on accepting their answers until it heard of the chosen successor. The leader reads the old primary's position in between; a write that commits later is not among what the successor must hold.

Change: the host surrenders the term before it confirms; such a write is in doubt, which is what is known of it. It works because the confirmation is sent after the term is surrendered, on the same thread.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -199,7 +199,8 @@
     }
 
     /// Confirms that a state is applied. If it starts a planned change of primary,
-    /// waits until the open writes have ended, for `PLANNED_DRAIN_TIMEOUT` at most.
+    /// waits until the open writes have ended, for `PLANNED_DRAIN_TIMEOUT` at most;
+    /// later answers to them are not accepted.
     fn confirm_applied(&mut self, index: u64, planned: Vec<ServiceTerm>) {
         self.confirmations.record_applied(index, !planned.is_empty());
         if planned.is_empty() {
@@ -216,6 +217,9 @@
                     break;
                 }
             }
+            let mut view = shared.view.borrow_mut();
+            planned.iter().for_each(|term| view.surrender_term(&term.service, term.number));
+            drop(view);
             let _ = events.send(LinkEvent::WritesEnded(index));
         });
     }
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -102,6 +102,8 @@
     routes: Option<Arc<RouteTable>>,
     routes_by_database: HashMap<Arc<str>, Arc<RouteRule>>,
     terms: BTreeMap<Arc<str>, ServiceTerm>,
+    /// Number of each service's last term in which this host accepts no more answers.
+    surrendered_terms: BTreeMap<Arc<str>, u64>,
     sampled_positions: BTreeMap<Arc<str>, SampledPositions>,
     lease: HeldLease,
     applied: u64,
@@ -120,6 +122,7 @@
             routes: None,
             routes_by_database: HashMap::new(),
             terms: BTreeMap::new(),
+            surrendered_terms: BTreeMap::new(),
             sampled_positions: BTreeMap::new(),
             lease: HeldLease::default(),
             applied: 0,
@@ -154,6 +157,11 @@
         true
     }
 
+    /// Stops accepting answers to writes of a term.
+    pub fn surrender_term(&mut self, service: &Arc<str>, number: u64) {
+        self.surrendered_terms.insert(service.clone(), number);
+    }
+
     /// Extends the lease; `duration` counts from `sent_at`, when it was requested.
     /// `entry_hosts` is the number of hosts that share the databases' connections.
     pub fn extend_lease(
@@ -296,6 +304,7 @@
     /// caller.
     pub fn accepts_answer(&self, now: Moment, service: &str, number: u64) -> bool {
         self.has_lease(now)
+            && self.surrendered_terms.get(service) != Some(&number)
             && self.terms.get(service).is_some_and(|term| term.accepts_answers(number))
     }
 
--- a/crates/decisions/tests/planned_changes.rs
+++ b/crates/decisions/tests/planned_changes.rs
@@ -1,6 +1,20 @@
 //! What an entry host promises the leader of control during a planned change of primary.
 
-use hawthornstack_decisions::entry_role::StateConfirmations;
+use std::{sync::Arc, time::Duration};
+
+use hawthornstack_decisions::{
+    clock::Moment,
+    entry_role::{EntryView, StateConfirmations},
+    instances::InstanceKey,
+    primaries::{ServiceTerm, TermPhase},
+};
+
+const NOW: Moment = Moment::from_millis(1_000);
+
+fn term(service: &str, phase: TermPhase) -> ServiceTerm {
+    let primary = InstanceKey { id: Arc::from("a"), born_ms: 1 };
+    ServiceTerm { service: Arc::from(service), number: 3, since_index: 5, primary, phase }
+}
 
 /// A state that arrives while writes of an ending term are open must not confirm the end of
 /// that term: the successor could be chosen without a write that is still acknowledged.
@@ -17,3 +31,20 @@
     confirmations.record_writes_ended(8);
     assert_eq!(confirmations.confirmed(), 8);
 }
+
+/// A write that outlasts the wait for it must not be acknowledged after the host has
+/// confirmed the end of its term.
+#[test]
+fn answers_are_not_accepted_after_the_end_of_a_term_is_confirmed() {
+    let mut view = EntryView::new(Arc::from("a"));
+    let planned = TermPhase::Fencing { planned: true };
+    view.apply_state(5, None, vec![term("books", planned.clone()), term("seats", planned)]);
+    view.extend_lease(NOW, Duration::from_secs(3), 5, 1);
+    assert!(view.accepts_answer(NOW, "books", 3));
+    view.surrender_term(&Arc::from("books"), 3);
+    assert!(!view.accepts_answer(NOW, "books", 3));
+    assert!(view.accepts_answer(NOW, "seats", 3));
+    let next = ServiceTerm { number: 4, ..term("books", TermPhase::Steady) };
+    view.apply_state(9, None, vec![next]);
+    assert!(view.accepts_answer(NOW, "books", 4));
+}
