Replace a draining primary only by a database that can serve

Cause: the reason to end a draining primary's term counted any other record that did not drain, also one that had failed a moment ago; then the choice fell back on whatever answered, such as another draining database, and a planned change without an answering candidate never ended.

After a failure a draining database may take over while its drain period lasts, which was refused before. It works against ping-pong because each planned change of a service now uses up the announcements made before it.

Failed before: draining_primary_stays_while_its_successors_are_silent, planned_change_without_an_answering_successor_is_abandoned, failed_primary_is_replaced_by_a_draining_replica.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -41,6 +41,10 @@
 /// Consecutive announcements that may be missed before a database is removed.
 const MISSED_ANNOUNCEMENT_LIMIT: u32 = 10;
 
+/// Part of the announcement lifetime after which a silent database no longer counts as
+/// a successor of a draining primary: two announcements may be missed.
+const SUCCESSOR_SILENCE_DIVISOR: u32 = 4;
+
 /// Settings of a control host, given at its start.
 #[derive(Debug, Clone)]
 pub struct ControlSettings {
@@ -90,6 +94,11 @@
         }
     }
 
+    /// Silence after which a database is not relied on as a successor.
+    pub(super) fn successor_silence(&self) -> Duration {
+        self.announcement_lifetime / SUCCESSOR_SILENCE_DIVISOR
+    }
+
     /// Time after which a draining database is neither kept nor chosen as primary.
     pub(super) fn drain_limit(&self) -> Option<Duration> {
         self.drain_period.map(|period| period.saturating_sub(DRAIN_END_MARGIN))
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -9,7 +9,7 @@
     clock::Moment,
     control_state::ControlCommand,
     identity::HostId,
-    instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
     primaries::{
         HolderView, InstanceStatus, ServiceTerm, SuccessionRules, TermChange, TermPhase, TermStep,
     },
@@ -30,7 +30,7 @@
             return;
         }
         self.record_steady_terms(now);
-        self.log_missing_successors();
+        self.log_missing_successors(now);
         self.run_periodic_checks(now);
         for command in self.collect_commands(now) {
             self.propose_once(now, command);
@@ -80,25 +80,24 @@
     }
 
     /// Logs, once a term, that the primary drains and has no successor.
-    fn log_missing_successors(&mut self) {
+    fn log_missing_successors(&mut self, now: Moment) {
+        let unreplaced: Vec<ServiceTerm> = self
+            .control
+            .terms
+            .values()
+            .filter(|term| term.is_steady() && !self.has_successor(now, term))
+            .filter(|term| self.directory.get(&term.primary.id).is_some_and(|r| r.draining))
+            .cloned()
+            .collect();
         let Some(leader_state) = &mut self.leader_state else {
             return;
         };
-        for term in self.control.terms.values().filter(|term| term.is_steady()) {
-            let draining =
-                self.directory.get(&term.primary.id).is_some_and(|record| record.draining);
-            if !draining
-                || has_successor(&self.directory, term)
-                || leader_state.without_successor.get(&term.service) == Some(&term.number)
-            {
-                continue;
+        for term in unreplaced {
+            let ServiceTerm { service, number, primary, .. } = term;
+            if leader_state.without_successor.insert(service.clone(), number) != Some(number) {
+                let event = ControlLogEvent::NoSuccessor { service, number, primary };
+                self.effects.push(ControlEffect::Log(event));
             }
-            leader_state.without_successor.insert(term.service.clone(), term.number);
-            self.effects.push(ControlEffect::Log(ControlLogEvent::NoSuccessor {
-                service: term.service.clone(),
-                number: term.number,
-                primary: term.primary.clone(),
-            }));
         }
     }
 
@@ -141,24 +140,23 @@
     /// `Some(false)` after a failure, `None` if the term continues.
     fn check_term_end(&self, now: Moment, term: &ServiceTerm) -> Option<bool> {
         let leader_state = self.leader_state.as_ref()?;
-        let steady_since = match leader_state.steady_since.get(&term.service) {
-            Some((number, since)) if *number == term.number => *since,
-            _ => now,
-        };
+        let steady_since = self.steady_since(now, term);
         let polled =
             leader_state.polls.get(&term.service).filter(|(number, _)| *number == term.number);
         let suspected = polled
             .is_some_and(|(_, poll)| poll.is_confirmed(now, &self.hosts_with_live_lease(now)));
-        if !has_successor(&self.directory, term) {
-            let limit = self.settings.drain_limit();
-            let drained = self.directory.has_drained(now, &term.primary, limit);
-            return (term.is_steady() && drained).then_some(true);
-        }
+        let replaceable = self.can_fail_over(now, term);
         match &term.phase {
-            TermPhase::Steady if suspected => Some(false),
-            TermPhase::Fencing { planned: true } if suspected => Some(false),
+            TermPhase::Steady | TermPhase::Fencing { planned: true } if suspected => {
+                replaceable.then_some(false)
+            }
             TermPhase::Steady => match self.directory.get(&term.primary.id) {
-                Some(record) if record.draining => Some(true),
+                Some(record) if record.draining => {
+                    let limit = self.settings.drain_limit();
+                    let drained = self.directory.has_drained(now, &term.primary, limit);
+                    (drained || self.has_successor(now, term)).then_some(true)
+                }
+                _ if !replaceable => None,
                 Some(record) if record.role == InstanceRole::Replica => {
                     let silence = self
                         .directory
@@ -177,6 +175,38 @@
         }
     }
 
+    /// True if another database could replace a failed primary.
+    fn can_fail_over(&self, now: Moment, term: &ServiceTerm) -> bool {
+        let limit = self.settings.drain_limit();
+        self.directory.instances_of_service(&term.service).any(|record| {
+            record.key.id != term.primary.id && !self.directory.has_drained(now, &record.key, limit)
+        })
+    }
+
+    /// True if another database can replace a draining primary: one that does not
+    /// drain and has lately announced itself, also since this term began. A database
+    /// that just failed, or did not answer in an abandoned change, has not.
+    fn has_successor(&self, now: Moment, term: &ServiceTerm) -> bool {
+        let silence_limit =
+            now.since(self.steady_since(now, term)).min(self.settings.successor_silence());
+        self.directory.instances_of_service(&term.service).any(|record| {
+            let silence = self.directory.time_since_announcement(now, &record.key.id);
+            record.key.id != term.primary.id
+                && !record.draining
+                && silence.is_some_and(|silence| silence < silence_limit)
+        })
+    }
+
+    /// Time since which this leader knows the term to be steady.
+    fn steady_since(&self, now: Moment, term: &ServiceTerm) -> Moment {
+        let known =
+            self.leader_state.as_ref().and_then(|state| state.steady_since.get(&term.service));
+        match known {
+            Some((number, since)) if *number == term.number => *since,
+            _ => now,
+        }
+    }
+
     fn hosts_with_live_lease(&self, now: Moment) -> BTreeSet<HostId> {
         let Some(leader_state) = &self.leader_state else {
             return BTreeSet::new();
@@ -291,13 +321,6 @@
     }
 }
 
-/// True if a database other than the term's primary is known that does not drain.
-fn has_successor(directory: &InstanceDirectory, term: &ServiceTerm) -> bool {
-    directory
-        .instances_of_service(&term.service)
-        .any(|record| record.key.id != term.primary.id && !record.draining)
-}
-
 /// True if the database is primary of a service without a known primary, or is
 /// the known primary after a restart.
 fn is_unknown_primary(record: &InstanceRecord, term: Option<&ServiceTerm>) -> bool {
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -189,12 +189,16 @@
         rules: SuccessionRules,
     ) -> Vec<TermStep> {
         let sync_replicas = rules.sync_replicas;
-        let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= OLD_PRIMARY_EXCLUSION;
+        // After a failure the old primary may have recovered; in a planned change it
+        // still serves if no successor answers.
+        let old_primary_exclusion = match planned {
+            true => CATCH_UP_TIMEOUT,
+            false => OLD_PRIMARY_EXCLUSION,
+        };
+        let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= old_primary_exclusion;
         let is_candidate = |record: &InstanceRecord| {
-            let drained = directory.has_drained(now, &record.key, rules.drain_limit);
-            let replaced = planned && record.key == term.primary;
-            let allowed = record.key.id != term.primary.id || old_primary_allowed;
-            allowed && !replaced && !drained
+            (old_primary_allowed || record.key.id != term.primary.id)
+                && !directory.has_drained(now, &record.key, rules.drain_limit)
         };
         let candidates: Vec<&InstanceRecord> = directory
             .instances_of_service(&term.service)
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -223,6 +223,15 @@
         self.step(id, ControlEvent::Announced(record.clone()));
     }
 
+    /// Repeats the announcements of all databases that answer, as they do themselves.
+    pub fn repeat_announcements(&mut self, id: HostId) {
+        let mut records: Vec<InstanceRecord> = self.instances.values().cloned().collect();
+        for record in &mut records {
+            record.sequence += 1;
+            self.announce(id, record);
+        }
+    }
+
     /// Renews an entry host's lease at a control host, reporting the newest
     /// state that was sent to it.
     pub fn renew_lease(&mut self, at: HostId, entry: HostId) {
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -39,6 +39,7 @@
             world.renew_lease(leader, *entry);
         }
         world.run(SECOND / 10);
+        world.repeat_announcements(leader);
     }
     (world, leader)
 }
@@ -119,7 +120,7 @@
 fn draining_primary_is_replaced_by_a_planned_change() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
     let draining =
-        InstanceRecord { draining: true, sequence: 2, ..instance("a", 1, InstanceRole::Primary) };
+        InstanceRecord { draining: true, sequence: 20, ..instance("a", 1, InstanceRole::Primary) };
     world.announce(leader, &draining);
     world.run(SECOND / 100);
     assert_eq!(term(&world, leader).phase, TermPhase::Fencing { planned: true });
@@ -164,6 +165,13 @@
     }
 }
 
+/// The primary announces that it drains, shortly after it announced that it did not.
+fn drain_primary(world: &mut ControlWorld, leader: HostId) {
+    let primary = instance("a", 1, InstanceRole::Primary);
+    world.announce(leader, &InstanceRecord { sequence: 20, ..primary.clone() });
+    world.announce(leader, &InstanceRecord { draining: true, sequence: 21, ..primary });
+}
+
 /// A service whose primary is its only database and drains.
 fn world_with_sole_draining_primary() -> (ControlWorld, HostId) {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
@@ -171,9 +179,7 @@
         world.instances.remove(&gone.key.id);
         world.handle_event(leader, ControlEvent::Departed(departure_of(&gone)));
     }
-    let primary = instance("a", 1, InstanceRole::Primary);
-    world.announce(leader, &InstanceRecord { sequence: 2, ..primary.clone() });
-    world.announce(leader, &InstanceRecord { draining: true, sequence: 3, ..primary });
+    drain_primary(&mut world, leader);
     (world, leader)
 }
 
@@ -224,6 +230,55 @@
     assert_eq!(&*term.primary.id, "d");
 }
 
+/// A draining primary must not be given up for databases that have been silent: nobody would
+/// serve writes until they are known to be gone.
+#[test]
+fn draining_primary_stays_while_its_successors_are_silent() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    world.instances.remove("b");
+    world.instances.remove("c");
+    run_with_renewals(&mut world, leader, 4 * SECOND);
+    drain_primary(&mut world, leader);
+    run_with_renewals(&mut world, leader, 4 * SECOND);
+    let term = term(&world, leader);
+    assert!(term.is_steady());
+    assert_eq!(term.number, 1);
+}
+
+/// A planned change whose successors turn out to be dark must be abandoned, once, instead of
+/// leaving the service without a primary.
+#[test]
+fn planned_change_without_an_answering_successor_is_abandoned() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    world.instances.remove("b");
+    world.instances.remove("c");
+    drain_primary(&mut world, leader);
+    run_with_renewals(&mut world, leader, SECOND);
+    assert_eq!(term(&world, leader).phase, TermPhase::Fencing { planned: true });
+    run_with_renewals(&mut world, leader, 2 * SECOND);
+    for _ in 0..4 {
+        let term = term(&world, leader);
+        assert!(term.is_steady());
+        assert_eq!((&*term.primary.id, term.number), ("a", 2));
+        run_with_renewals(&mut world, leader, SECOND / 2);
+    }
+}
+
+/// A draining replica is better than no primary at all while its drain period lasts.
+#[test]
+fn failed_primary_is_replaced_by_a_draining_replica() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    for (id, born_ms) in [("b", 2), ("c", 3)] {
+        let replica = instance(id, born_ms, InstanceRole::Replica);
+        world.announce(leader, &InstanceRecord { draining: true, sequence: 20, ..replica });
+    }
+    report_reachability(&mut world, leader, FIRST_ENTRY, false);
+    run_with_renewals(&mut world, leader, 2 * SECOND);
+    let term = term(&world, leader);
+    assert!(term.is_steady());
+    assert_ne!(&*term.primary.id, "a");
+}
+
 #[test]
 fn next_leader_finishes_the_change_with_one_promoted_database() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
