Start a replacement that already leads the highest known term

Cause: when all copies of a service crash and the first to return is a new database with the primary's log and address, it leads the present term already and the platform changes nothing for a promotion. The leader waited for a higher term, as it does for a former primary.

Change: the service's term keeps the term that its primary was required to exceed. A database that leads the highest counted term, and a higher one than that, is not a former primary and is started as it is.

Test replacement_that_leads_already_is_started.

--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -59,6 +59,7 @@
                     since_index,
                     primary: primary.clone(),
                     phase: TermPhase::Steady,
+                    above_term: 0,
                 };
                 self.terms.insert(service.clone(), term);
             }
@@ -95,7 +96,8 @@
             && term.number == number
             && matches!(term.phase, TermPhase::Fencing { .. })
         {
-            term.phase = TermPhase::Promoting { chosen: chosen.clone(), above_term };
+            term.phase = TermPhase::Promoting { chosen: chosen.clone() };
+            term.above_term = above_term;
             term.since_index = since_index;
         }
     }
@@ -104,7 +106,7 @@
         let since_index = self.applied;
         if let Some(term) = self.terms.get_mut(service)
             && term.number == number
-            && let TermPhase::Promoting { chosen, .. } = &term.phase
+            && let TermPhase::Promoting { chosen } = &term.phase
         {
             term.primary = chosen.clone();
             term.number += 1;
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -19,10 +19,6 @@
     Promoting {
         /// The successor.
         chosen: InstanceKey,
-        /// It leads once it is primary of a higher term than this, as databases
-        /// count them. 0 in records of older builds.
-        #[serde(default)]
-        above_term: u64,
     },
 }
 
@@ -40,6 +36,10 @@
     pub primary: InstanceKey,
     /// Current phase of the term.
     pub phase: TermPhase,
+    /// The primary, and a successor that is being promoted, lead a higher term than
+    /// this, as databases count them. 0 if that is not known.
+    #[serde(default)]
+    pub above_term: u64,
 }
 
 impl ServiceTerm {
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -157,8 +157,8 @@
                 }
                 self.select_successor(now, term, directory, *planned, rules)
             }
-            TermPhase::Promoting { chosen, above_term } => {
-                self.plan_promotion(now, chosen, *above_term, directory)
+            TermPhase::Promoting { chosen } => {
+                self.plan_promotion(now, chosen, term.above_term, directory)
             }
         }
     }
@@ -231,7 +231,7 @@
         };
         if ready && let Some((chosen, status)) = self.best_candidate(term, &candidates) {
             self.proposed = true;
-            let above_term = self.term_to_exceed(term, &chosen, status);
+            let above_term = self.term_to_exceed(term, status);
             return vec![TermStep::Choose { chosen, above_term }];
         }
         let old_primary = planned.then(|| term.primary.clone());
@@ -258,19 +258,16 @@
     }
 
     /// Term above which the chosen database leads: the highest known one, since a
-    /// former primary may call itself primary of its own term. If the primary itself
-    /// is chosen again, its present term counts, as the platform keeps that one.
-    fn term_to_exceed(
-        &self,
-        term: &ServiceTerm,
-        chosen: &InstanceKey,
-        status: InstanceStatus,
-    ) -> u64 {
-        let highest = self.statuses.values().map(|status| status.term).max().unwrap_or(0);
-        let stays_primary = chosen.id == term.primary.id
-            && status.role == InstanceRole::Primary
-            && status.term == highest;
-        if stays_primary { highest.saturating_sub(1) } else { highest }
+    /// former primary may call itself primary of its own term. A database that
+    /// already leads the highest term keeps it: the present primary, or the one that
+    /// took over its log and address.
+    fn term_to_exceed(&self, term: &ServiceTerm, status: InstanceStatus) -> u64 {
+        let counted = self.statuses.values().map(|status| status.term).max().unwrap_or(0);
+        let highest = counted.max(term.above_term);
+        let leads_already = status.role == InstanceRole::Primary
+            && status.term == highest
+            && status.term > term.above_term;
+        if leads_already { highest - 1 } else { highest }
     }
 
     fn request_status(&mut self, now: Moment, key: InstanceKey) -> Option<TermStep> {
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -145,7 +145,7 @@
         world.run(SECOND / 100);
         world.renew_lease(leader, FIRST_ENTRY);
         world.run(SECOND / 5);
-        let TermPhase::Promoting { chosen, .. } = term(&world, leader).phase else {
+        let TermPhase::Promoting { chosen } = term(&world, leader).phase else {
             panic!("{primary}: {:?}", term(&world, leader));
         };
         assert_eq!(&*chosen.id, primary);
@@ -156,6 +156,24 @@
     }
 }
 
+/// A database that took over the failed primary's log and address leads already; the platform
+/// changes nothing when it is promoted, so that no higher term must be waited for.
+#[test]
+fn replacement_that_leads_already_is_started() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    for id in ["a", "b", "c"] {
+        world.instances.remove(id);
+    }
+    report_reachability(&mut world, leader, FIRST_ENTRY, false);
+    run_with_renewals(&mut world, leader, SECOND);
+    world.promotion_time = 60 * SECOND;
+    world.announce(leader, &instance("d", 4, InstanceRole::Primary));
+    run_with_renewals(&mut world, leader, 2 * SECOND);
+    let term = term(&world, leader);
+    assert!(term.is_steady());
+    assert_eq!(&*term.primary.id, "d");
+}
+
 /// Renews the entry host's lease for a while, as it does itself.
 fn run_with_renewals(world: &mut ControlWorld, leader: HostId, time: Duration) {
     let end = world.now + time;
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -54,6 +54,7 @@
         since_index: 1,
         primary: records[0].key.clone(),
         phase: TermPhase::Steady,
+        above_term: 0,
     };
     view.apply_state(1, None, vec![term]);
     view.extend_lease(Moment::from_millis(500), Duration::from_millis(9_500), 1, 1);
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -15,7 +15,7 @@
     failover::DatabaseOrder,
     outcomes::{Outcome, ResultCode},
     pg_host::{OperatorAnswer, OperatorQuestion, PeerMessage},
-    primaries::TermPhase,
+    primaries::{ServiceTerm, TermPhase},
     routes::{PackedRoutes, RouteKind, RouteTable},
     sessions::{SessionToken, TokenKey},
 };
@@ -165,7 +165,7 @@
 fn service_term(phase: Value) -> Value {
     json!({
         "service": "books", "number": 5, "since_index": 12, "primary": instance_key(),
-        "phase": phase
+        "phase": phase, "above_term": 3
     })
 }
 
@@ -173,7 +173,7 @@
     vec![
         json!("Steady"),
         json!({ "Fencing": { "planned": true } }),
-        json!({ "Promoting": { "chosen": instance_key(), "above_term": 4 } }),
+        json!({ "Promoting": { "chosen": instance_key() } }),
     ]
 }
 
@@ -455,12 +455,13 @@
     insta::assert_snapshot!("route_kinds", all_variants::<RouteKind>(&kinds));
 }
 
-/// A journal of an older build names no term that a chosen primary must exceed.
+/// A journal of an older build names no term that a primary must exceed.
 #[test]
 fn promotions_of_older_builds_are_read() {
-    let phase: TermPhase =
-        serde_json::from_value(json!({ "Promoting": { "chosen": instance_key() } })).unwrap();
-    assert!(matches!(phase, TermPhase::Promoting { above_term: 0, .. }));
+    let mut older = service_term(json!("Steady"));
+    older.as_object_mut().unwrap().remove("above_term");
+    let term: ServiceTerm = serde_json::from_value(older).unwrap();
+    assert_eq!(term.above_term, 0);
     let command: ControlCommand = serde_json::from_value(json!({ "ServicePrimaryChosen": {
         "service": "books", "number": 5, "chosen": instance_key()
     } }))
