Answer a plan only once it is committed

Cause: the leader answered the plan when it proposed it. If it stopped leading before the commit, no host knew the id.

It works because a committed plan is in every later leader's state.

Failed before: plan_is_answered_only_once_it_is_committed (answered before the record was synced), plan_that_is_not_committed_is_not_answered_as_made.

--- a/crates/decisions/src/pg_host/control_flow.rs
+++ b/crates/decisions/src/pg_host/control_flow.rs
@@ -120,7 +120,8 @@
             | ControlCommand::ServiceTermEnded { .. }
             | ControlCommand::ServicePrimaryChosen { .. }
             | ControlCommand::ServiceTermStarted { .. } => {}
-            ControlCommand::LeaderElected | ControlCommand::PlanMade(_) => {}
+            ControlCommand::LeaderElected => {}
+            ControlCommand::PlanMade(plan) => self.answer_plans(plan),
             ControlCommand::HostJoined(HostRecord { id, .. }) | ControlCommand::HostLeft(id) => {
                 if self.control.hosts_version != hosts_version {
                     self.positions.remove_moved(*id);
--- a/crates/decisions/src/pg_host/operator_flow.rs
+++ b/crates/decisions/src/pg_host/operator_flow.rs
@@ -45,11 +45,21 @@
 #[derive(Debug)]
 pub(super) struct PendingQuestion {
     asker: QuestionAsker,
-    /// On the leader: id of the confirmation that the question waits for.
-    request: Option<Arc<str>>,
+    awaited: AwaitedEvent,
     until: Moment,
 }
 
+/// What a question waits for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum AwaitedEvent {
+    /// The answer of the leader, to which it was forwarded.
+    Reply,
+    /// The commit of the plan with this id.
+    Plan(Arc<str>),
+    /// The commit of the confirmation with this id.
+    Confirmation(Arc<str>),
+}
+
 /// Who waits for an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum QuestionAsker {
@@ -70,8 +80,7 @@
         let me = self.settings.id();
         match self.leader.filter(|leader| *leader != me) {
             Some(leader) => {
-                let until = now + ANSWER_TIMEOUT;
-                self.questions.push(PendingQuestion { asker, request: None, until });
+                self.await_event(now, asker, AwaitedEvent::Reply);
                 self.send(leader, PeerMessage::OperatorAsk { ticket, question });
             }
             None => self.send_answer(asker, OperatorAnswer::NotCurrent(None)),
@@ -103,28 +112,29 @@
 
     fn answer_question(&mut self, now: Moment, asker: QuestionAsker, question: OperatorQuestion) {
         match question {
-            OperatorQuestion::Plan(intent) => {
-                let answer = self.control.make_plan(&intent);
-                if let Ok(plan) = &answer
-                    && !self.control.plans.contains_key(&plan.id)
-                {
-                    self.propose(now, ControlCommand::PlanMade(plan.clone()));
+            OperatorQuestion::Plan(intent) => match self.control.make_plan(&intent) {
+                // A plan that is not committed is lost if the leader fails.
+                Ok(plan) if !self.control.plans.contains_key(&plan.id) => {
+                    self.await_event(now, asker, AwaitedEvent::Plan(plan.id.clone()));
+                    self.propose(now, ControlCommand::PlanMade(plan));
                 }
-                self.send_answer(asker, OperatorAnswer::Plan(answer));
-            }
+                answer => self.send_answer(asker, OperatorAnswer::Plan(answer)),
+            },
             OperatorQuestion::Confirm { request, plan, operator, at_unix_ms } => {
                 if let Some(answer) = self.control.answers.get(&request).cloned() {
                     return self.send_answer(asker, OperatorAnswer::Confirm(answer));
                 }
-                let until = now + ANSWER_TIMEOUT;
-                let pending = PendingQuestion { asker, request: Some(request.clone()), until };
-                self.questions.push(pending);
+                self.await_event(now, asker, AwaitedEvent::Confirmation(request.clone()));
                 let command = ControlCommand::PlanConfirmed { request, plan, operator, at_unix_ms };
                 self.propose(now, command);
             }
         }
     }
 
+    fn await_event(&mut self, now: Moment, asker: QuestionAsker, awaited: AwaitedEvent) {
+        self.questions.push(PendingQuestion { asker, awaited, until: now + ANSWER_TIMEOUT });
+    }
+
     fn send_answer(&mut self, asker: QuestionAsker, answer: OperatorAnswer) {
         match asker {
             QuestionAsker::Local(ticket) => {
@@ -136,17 +146,29 @@
         }
     }
 
+    /// Answers the questions that wait for a plan that was committed.
+    pub(super) fn answer_plans(&mut self, plan: &Plan) {
+        let awaited = AwaitedEvent::Plan(plan.id.clone());
+        self.answer_awaiting(&awaited, &OperatorAnswer::Plan(Ok(plan.clone())));
+    }
+
     /// Answers the questions that wait for a confirmation that was committed.
     pub(super) fn answer_confirmations(&mut self, request: &Arc<str>) {
         let Some(answer) = self.control.answers.get(request).cloned() else {
             return;
         };
+        let awaited = AwaitedEvent::Confirmation(request.clone());
+        self.answer_awaiting(&awaited, &OperatorAnswer::Confirm(answer));
+    }
+
+    fn answer_awaiting(&mut self, awaited: &AwaitedEvent, answer: &OperatorAnswer) {
         let (done, pending) = std::mem::take(&mut self.questions)
             .into_iter()
-            .partition(|pending| pending.request.as_ref() == Some(request));
+            .partition(|pending| pending.awaited == *awaited);
         self.questions = pending;
+        let done: Vec<PendingQuestion> = done;
         for pending in done {
-            self.send_answer(pending.asker, OperatorAnswer::Confirm(answer.clone()));
+            self.send_answer(pending.asker, answer.clone());
         }
     }
 
