--- a/crates/lab/src/cluster/operator_client.rs
+++ b/crates/lab/src/cluster/operator_client.rs
@@ -14,6 +14,10 @@
 /// Attempts, over all daemons, before a request fails.
 const MAX_ATTEMPTS: usize = 200;
 
+/// HTTP statuses of answers that a repeat would not change: done, and a refused
+/// confirmation, whose body has the result code.
+const FINAL_STATUSES: [u16; 2] = [200, 409];
+
 /// Client of the operators' interface that tries one daemon after another until
 /// one answers.
 #[derive(Debug, Clone)]
@@ -27,11 +31,12 @@
         Self { daemons }
     }
 
-    /// Plans a change of the configuration and confirms the plan.
+    /// Plans a change of the configuration and confirms the plan. The response has
+    /// the result code, also of a refusal.
     ///
     /// # Errors
-    /// `ClusterError::Timeout` if no daemon answers with success, for example
-    /// without a leader or for a plan that was refused.
+    /// `ClusterError::Timeout` if no daemon answers, for example without a leader, or
+    /// if none makes a plan for the intent.
     pub async fn execute_intent(&self, intent: Intent) -> Result<ConfirmResponse, ClusterError> {
         let plan: PlanResponse = self.post(PLAN_PATH, &PlanRequest { intent }).await?;
         let request = ConfirmRequest {
@@ -72,7 +77,10 @@
             let url = format!("http://{daemon}{path}");
             let body = body.clone();
             let response = tokio::task::spawn_blocking(move || {
-                ureq::post(&url).send_json(&body).ok()?.body_mut().read_json().ok()
+                let request = ureq::post(&url).config().http_status_as_error(false).build();
+                let mut response = request.send_json(&body).ok()?;
+                let is_final = FINAL_STATUSES.contains(&response.status().as_u16());
+                is_final.then(|| response.body_mut().read_json().ok()).flatten()
             });
             if let Ok(Some(answer)) = response.await {
                 return Ok(answer);
