--- a/crates/daemon/src/control_role/journal_thread.rs
+++ b/crates/daemon/src/control_role/journal_thread.rs
@@ -1,6 +1,6 @@
 use std::{
-    fs, io,
-    path::{Path, PathBuf},
+    fs,
+    path::Path,
     sync::mpsc::{Receiver, Sender, channel},
     thread,
     time::Duration,
@@ -52,7 +52,7 @@
             opened => opened?,
         };
         let (batches, received) = channel();
-        let writer = JournalWriter { folder: folder.to_owned(), file, events };
+        let writer = JournalWriter { file, events };
         thread::spawn(move || writer.run(&received));
         Ok((Self { batches }, records))
     }
@@ -64,7 +64,6 @@
 }
 
 struct JournalWriter {
-    folder: PathBuf,
     file: JournalFile,
     events: UnboundedSender<ControlEvent>,
 }
@@ -88,25 +87,8 @@
 
     fn write(&mut self, records: &[JournalRecord]) {
         while let Err(error) = self.file.append(records) {
-            tracing::warn!(
-                target: "journal", %error,
-                "journal write failed; reopening the journal and retrying"
-            );
+            tracing::warn!(target: "journal", %error, "journal write failed; retrying");
             thread::sleep(RETRY_DELAY);
-            if let Err(error) = self.reopen() {
-                tracing::warn!(
-                    target: "journal", %error,
-                    "journal cannot be reopened; retrying the write anyway"
-                );
-            }
         }
     }
-
-    /// Opens the file again, which cuts off a record that a failed write left
-    /// incomplete at the end.
-    fn reopen(&mut self) -> Result<(), io::Error> {
-        let (file, _) = JournalFile::open(&self.folder).map_err(io::Error::other)?;
-        self.file = file;
-        Ok(())
-    }
 }
--- a/crates/daemon/src/journal/journal_file.rs
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -29,6 +29,8 @@
 pub struct JournalFile {
     folder: PathBuf,
     file: File,
+    /// Length of the records that are synced, in bytes.
+    length: u64,
 }
 
 /// Result of reading a record at an offset of the file.
@@ -70,7 +72,7 @@
         let file =
             Self::open_truncated(&path, end as u64).context(DataFolderSnafu { path: &path })?;
         sync_folder(folder).context(DataFolderSnafu { path: folder })?;
-        Ok((Self { folder: folder.to_owned(), file }, records))
+        Ok((Self { folder: folder.to_owned(), file, length: end as u64 }, records))
     }
 
     fn open_truncated(path: &Path, length: u64) -> io::Result<File> {
@@ -84,7 +86,8 @@
     /// causes the file to be rewritten.
     ///
     /// # Errors
-    /// The system's error; the journal must then be opened again before use.
+    /// The system's error. The call may be repeated: it first cuts off what a failed
+    /// one wrote.
     pub fn append(&mut self, records: &[JournalRecord]) -> io::Result<()> {
         let has_snapshot = records.iter().any(|r| matches!(r, JournalRecord::Snapshot(_)));
         if has_snapshot {
@@ -94,15 +97,21 @@
         for record in records {
             write_record(&mut bytes, record)?;
         }
+        if self.file.metadata()?.len() != self.length {
+            self.file.set_len(self.length)?;
+        }
         self.file.write_all(&bytes)?;
-        self.file.sync_data()
+        self.file.sync_data()?;
+        self.length += bytes.len() as u64;
+        Ok(())
     }
 
     /// Writes the compacted records to a new file and renames it over the old
     /// one.
     fn rewrite(&mut self, added: &[JournalRecord]) -> io::Result<()> {
         let path = self.folder.join(JOURNAL_FILE_NAME);
-        let bytes = fs::read(&path)?;
+        let mut bytes = fs::read(&path)?;
+        bytes.truncate(self.length as usize);
         let mut records = Vec::new();
         let mut end = 0;
         while let ParsedRecord::Valid { record, end: next } = read_record(&bytes, end) {
@@ -118,10 +127,11 @@
         let mut file = File::create(&new_path)?;
         file.write_all(&rewritten)?;
         file.sync_all()?;
+        let file = OpenOptions::new().append(true).open(&new_path)?;
         fs::rename(&new_path, &path)?;
-        sync_folder(&self.folder)?;
-        self.file = OpenOptions::new().append(true).open(&path)?;
-        Ok(())
+        self.file = file;
+        self.length = rewritten.len() as u64;
+        sync_folder(&self.folder)
     }
 }
 
--- a/crates/daemon/tests/journal_damage.rs
+++ b/crates/daemon/tests/journal_damage.rs
@@ -71,6 +71,25 @@
     assert_eq!(most, records().len());
 }
 
+/// A failed write can leave a part of a record at the end: a repeated write must not put records
+/// after it, since the next start would find the journal damaged and drop it.
+#[test]
+fn repeated_write_replaces_an_incomplete_record() {
+    let folder = TempFolder::new("repeated");
+    let whole = write_journal(&folder);
+    let incomplete = &whole[..whole.len() / records().len()];
+    let (mut file, _) = JournalFile::open(&folder.0).unwrap();
+    for index in 4..6 {
+        let mut bytes = std::fs::read(folder.file()).unwrap();
+        bytes.extend_from_slice(&incomplete[..incomplete.len() / 2]);
+        std::fs::write(folder.file(), &bytes).unwrap();
+        file.append(&[entry(index)]).unwrap();
+    }
+    drop(file);
+    let (_, found) = JournalFile::open(&folder.0).unwrap();
+    assert_eq!(found, [records(), vec![entry(4), entry(5)]].concat());
+}
+
 /// A damaged byte before the last record must be reported. If it were treated
 /// like a truncation, synced records after it would be lost.
 #[test]
