Choose the longest log where commits are acknowledged by replicas

Change: what is missing is counted over replicas alone. If fewer than sync_replicas are missing, the replica with the longest log is chosen, draining or drained or not; else only the old primary, if it answers. Without synchronous replicas the order is as before. It works because an acknowledged commit is on at least sync_replicas replicas.

--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -39,6 +39,17 @@
     pub received: LogPosition,
 }
 
+/// Order in which databases that answered are preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CandidateOrder {
+    /// A replica that does not drain, then the longest log.
+    StayingFirst,
+    /// The replica with the longest log.
+    LongestReplica,
+    /// The longest log, be it the old primary's.
+    LongestLog,
+}
+
 /// Next step of the leader in a change of primary.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TermStep {
@@ -188,7 +199,6 @@
         planned: bool,
         rules: SuccessionRules,
     ) -> Vec<TermStep> {
-        let sync_replicas = rules.sync_replicas;
         // After a failure the old primary may have recovered; in a planned change it
         // still serves if no successor answers.
         let old_primary_exclusion = match planned {
@@ -197,8 +207,11 @@
         };
         let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= old_primary_exclusion;
         let is_candidate = |record: &InstanceRecord| {
-            (old_primary_allowed || record.key.id != term.primary.id)
-                && !directory.has_drained(now, &record.key, rules.drain_limit)
+            let is_replica = record.key.id != term.primary.id;
+            // Only a drained replica may hold a commit that was acknowledged.
+            let needed = is_replica && !planned && rules.sync_replicas > 0;
+            (is_replica || old_primary_allowed)
+                && (needed || !directory.has_drained(now, &record.key, rules.drain_limit))
         };
         let candidates: Vec<&InstanceRecord> = directory
             .instances_of_service(&term.service)
@@ -209,27 +222,18 @@
             return Vec::new();
         }
         let waited = now.since(*self.candidates_since.get_or_insert(now));
+        let order = self.candidate_order(term, &candidates, rules.sync_replicas);
+        let best = order.and_then(|order| self.best_candidate(term, &candidates, order));
         let awaits_catch_up =
             planned && waited < CATCH_UP_TIMEOUT && directory.get_by_key(&term.primary).is_some();
-        let required_position = match awaits_catch_up {
-            true => self.statuses.get(&term.primary).map(|status| status.received),
-            false => None,
-        };
-        let answer_count = candidates.iter().filter(|r| self.statuses.contains_key(&r.key)).count();
-        let all_answered = answer_count == candidates.len();
-        // An acknowledged commit is on at least `sync_replicas` databases. If
-        // fewer candidates than that have not answered, at least one that has
-        // answered holds the commit.
-        let has_enough_answers = candidates.len() - answer_count < sync_replicas.max(1) as usize;
-        let ready = match (awaits_catch_up, required_position) {
-            (true, None) => false,
-            (true, Some(required_position)) => self
-                .best_candidate(term, &candidates)
-                .is_some_and(|(_, s)| s.received >= required_position),
-            (false, _) if sync_replicas > 0 => has_enough_answers,
-            (false, _) => all_answered || waited >= STATUS_TIMEOUT,
+        let old_status = self.statuses.get(&term.primary);
+        let all_answered = candidates.iter().all(|record| self.has_answered(&record.key));
+        let ready = match (awaits_catch_up, old_status, &best) {
+            (true, Some(old), Some((_, status))) => status.received >= old.received,
+            (true, ..) => false,
+            (false, ..) => rules.sync_replicas > 0 || all_answered || waited >= STATUS_TIMEOUT,
         };
-        if ready && let Some((chosen, status)) = self.best_candidate(term, &candidates) {
+        if ready && let Some((chosen, status)) = best {
             self.proposed = true;
             let above_term = self.term_to_exceed(term, status);
             return vec![TermStep::Choose { chosen, above_term }];
@@ -240,19 +244,53 @@
         keys.into_iter().filter_map(|key| self.request_status(now, key)).collect()
     }
 
-    /// Returns the preferred candidate: not the old primary and not draining if
-    /// possible, then the furthest log position.
+    fn has_answered(&self, key: &InstanceKey) -> bool {
+        self.statuses.contains_key(key) && !self.excluded.contains(key)
+    }
+
+    /// How to choose among the databases that answered; `None` if all of them may
+    /// lack an acknowledged commit.
+    fn candidate_order(
+        &self,
+        term: &ServiceTerm,
+        candidates: &[&InstanceRecord],
+        sync_replicas: u32,
+    ) -> Option<CandidateOrder> {
+        if sync_replicas == 0 {
+            return Some(CandidateOrder::StayingFirst);
+        }
+        // An acknowledged commit is on at least `sync_replicas` replicas, so that one
+        // of those that answered has it if fewer did not answer.
+        let is_old_primary = |record: &&InstanceRecord| record.key.id == term.primary.id;
+        let (old, replicas): (Vec<&InstanceRecord>, Vec<&InstanceRecord>) =
+            candidates.iter().partition(|record| is_old_primary(record));
+        let missing = replicas.iter().filter(|record| !self.has_answered(&record.key)).count();
+        if missing < sync_replicas as usize {
+            return Some(CandidateOrder::LongestReplica);
+        }
+        let old_answered = old.iter().any(|record| self.has_answered(&record.key));
+        old_answered.then_some(CandidateOrder::LongestLog)
+    }
+
+    /// Returns the preferred candidate among those that answered.
     fn best_candidate(
         &self,
         term: &ServiceTerm,
         candidates: &[&InstanceRecord],
+        order: CandidateOrder,
     ) -> Option<(InstanceKey, InstanceStatus)> {
         candidates
             .iter()
-            .filter(|record| !self.excluded.contains(&record.key))
+            .filter(|record| self.has_answered(&record.key))
             .filter_map(|record| Some((*record, *self.statuses.get(&record.key)?)))
             .max_by_key(|(record, status)| {
-                (record.key.id != term.primary.id, !record.draining, status.received)
+                let is_replica = record.key.id != term.primary.id;
+                let (first, stays) = match order {
+                    CandidateOrder::StayingFirst => (is_replica, !record.draining),
+                    CandidateOrder::LongestReplica => (is_replica, true),
+                    CandidateOrder::LongestLog => (true, true),
+                };
+                (first, stays, status.received, !record.draining, is_replica)
             })
             .map(|(record, status)| (record.key.clone(), status))
     }
