Pause before a refused BEGIN is repeated

Cause: the first statement of a transaction ignored whether another attempt may be made. A final refusal was repeated without a pause, and so was any other in the last 8 to 16 ms, for which no pause is left.

Change: a refused BEGIN is repeated after the usual pause, as nothing ran, and the caller is told 'not run' once there is no time for one.

--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession, refuse_unassigned, retry_reason},
+    caller_session::{CallerReply, CallerSession, RetryDecision, refuse_unassigned, retry_reason},
     request_trace::{RequestTrace, TraceStep},
     statement_run::{
         AssignedConnection, RunLimits, assign_connection, encode_begin, encode_statement,
@@ -17,6 +17,16 @@
 };
 use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
+/// How an attempt to begin a transaction at a database ended.
+enum BeginEnd {
+    /// It is open on this connection.
+    Begun(Box<AssignedConnection>),
+    /// The database refused it or the exchange failed; another attempt may be made.
+    Retry,
+    /// The same, with no time left for another attempt.
+    OutOfTime,
+}
+
 /// Transactions: the first statement is assigned a connection, which stays pinned
 /// to the transaction until its end.
 impl CallerSession {
@@ -49,20 +59,22 @@
                     return refuse_unassigned(error);
                 }
             };
-            if let Some(connection) =
-                self.begin_transaction(connection, read_only, &mut tried, deadline, trace).await
-            {
-                self.state.transaction = TransactionPhase::Pinned { read_only };
-                self.wrote = false;
-                return self.run_pinned(connection, statement, deadline, trace).await;
+            let end =
+                self.begin_transaction(connection, read_only, &mut tried, deadline, trace).await;
+            match end {
+                BeginEnd::Begun(connection) => {
+                    self.state.transaction = TransactionPhase::Pinned { read_only };
+                    self.wrote = false;
+                    return self.run_pinned(*connection, statement, deadline, trace).await;
+                }
+                BeginEnd::Retry => {}
+                BeginEnd::OutOfTime => break,
             }
         }
         self.state.transaction = TransactionPhase::Failed;
         CallerReply::Refused(CallerRefusal::NotRun, "no database had room")
     }
 
-    /// Begins the transaction at a database; `None` if the database refused it or
-    /// the exchange failed.
     async fn begin_transaction(
         &mut self,
         mut connection: AssignedConnection,
@@ -70,33 +82,39 @@
         tried: &mut Vec<InstanceKey>,
         deadline: Instant,
         trace: &mut RequestTrace,
-    ) -> Option<AssignedConnection> {
+    ) -> BeginEnd {
         let mut out = Vec::new();
         let after = connection.after;
         connection.encode_urgency(&self.shared, &mut out);
-        let link = connection.pooled.link()?;
+        let Some(link) = connection.pooled.link() else {
+            return BeginEnd::Retry;
+        };
         let restore_count =
             encode_begin(&self.shared, link, &self.state, read_only, after, &mut out);
         let key = connection.pooled.record().key.clone();
         match run_exchange(&self.shared, &mut connection, &out, restore_count, deadline, trace)
             .await
         {
-            Ok(answer) if answer.phase == SessionPhase::InTransaction => Some(connection),
+            Ok(answer) if answer.phase == SessionPhase::InTransaction => {
+                BeginEnd::Begun(Box::new(connection))
+            }
             Ok(answer) if answer.phase == SessionPhase::Idle => {
-                let decision = self.decide_retry(&connection, &answer, false, tried);
+                let decision = match self.decide_retry(&connection, &answer, false, tried) {
+                    // Nothing ran, so that a BEGIN may be repeated whatever the refusal.
+                    RetryDecision::Final => RetryDecision::AfterPause,
+                    decision => decision,
+                };
                 connection.pooled.release();
-                decision.wait_for_retry(&self.shared, deadline).await;
-                trace.record(
-                    self.shared.now(),
-                    TraceStep::Retried { reason: retry_reason(answer.end) },
-                );
-                None
+                let retries = decision.wait_for_retry(&self.shared, deadline).await;
+                let reason = retry_reason(answer.end);
+                trace.record(self.shared.now(), TraceStep::Retried { reason });
+                if retries { BeginEnd::Retry } else { BeginEnd::OutOfTime }
             }
             _ => {
                 if connection.term_number.is_none() {
                     tried.push(key);
                 }
-                None
+                BeginEnd::Retry
             }
         }
     }
