--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -147,8 +147,10 @@
             .is_some_and(|(_, poll)| poll.is_confirmed(now, &self.hosts_with_live_lease(now)));
         let replaceable = self.can_fail_over(now, term);
         match &term.phase {
-            TermPhase::Steady | TermPhase::Fencing { planned: true } if suspected => {
-                replaceable.then_some(false)
+            TermPhase::Steady | TermPhase::Fencing { planned: true }
+                if suspected && replaceable =>
+            {
+                Some(false)
             }
             TermPhase::Steady => match self.directory.get(&term.primary.id) {
                 Some(record) if record.draining => {
