--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -85,8 +85,9 @@
             .control
             .terms
             .values()
-            .filter(|term| term.is_steady() && !self.has_successor(now, term))
+            .filter(|term| term.is_steady())
             .filter(|term| self.directory.get(&term.primary.id).is_some_and(|r| r.draining))
+            .filter(|term| !self.has_successor(now, term))
             .cloned()
             .collect();
         let Some(leader_state) = &mut self.leader_state else {
@@ -145,10 +146,10 @@
             leader_state.polls.get(&term.service).filter(|(number, _)| *number == term.number);
         let suspected = polled
             .is_some_and(|(_, poll)| poll.is_confirmed(now, &self.hosts_with_live_lease(now)));
-        let replaceable = self.can_fail_over(now, term);
+        let can_fail_over = || self.can_fail_over(now, term);
         match &term.phase {
             TermPhase::Steady | TermPhase::Fencing { planned: true }
-                if suspected && replaceable =>
+                if suspected && can_fail_over() =>
             {
                 Some(false)
             }
@@ -158,19 +159,19 @@
                     let drained = self.directory.has_drained(now, &term.primary, limit);
                     (drained || self.has_successor(now, term)).then_some(true)
                 }
-                _ if !replaceable => None,
                 Some(record) if record.role == InstanceRole::Replica => {
                     let silence = self
                         .directory
                         .time_since_announcement(now, &record.key.id)
                         .unwrap_or_default();
-                    (now.since(steady_since) > ROLE_CHANGE_TIMEOUT + silence).then_some(false)
+                    let deposed = now.since(steady_since) > ROLE_CHANGE_TIMEOUT + silence;
+                    (deposed && can_fail_over()).then_some(false)
                 }
                 Some(_) => None,
-                None if self.directory.has_departed(&term.primary) => Some(false),
                 None => {
-                    let lifetime = self.settings.announcement_lifetime;
-                    (now.since(steady_since) > lifetime).then_some(false)
+                    let gone = self.directory.has_departed(&term.primary)
+                        || now.since(steady_since) > self.settings.announcement_lifetime;
+                    (gone && can_fail_over()).then_some(false)
                 }
             },
             _ => None,
