--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -208,7 +208,7 @@
         let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= old_primary_exclusion;
         let is_candidate = |record: &InstanceRecord| {
             let is_replica = record.key.id != term.primary.id;
-            // Only a drained replica may hold a commit that was acknowledged.
+            // A drained replica may be the only one with an acknowledged commit.
             let needed = is_replica && !planned && rules.sync_replicas > 0;
             (is_replica || old_primary_allowed)
                 && (needed || !directory.has_drained(now, &record.key, rules.drain_limit))
