Count missing answers without copying the candidates

Found on reading the change once more. candidate_order split the candidates into two lists only to count in one and to look into the other; it now does both on the list that it has.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -40,7 +40,6 @@
 const DRAIN_END_MARGIN: Duration = Duration::from_millis(1_000);
 /// Consecutive announcements that may be missed before a database is removed.
 const MISSED_ANNOUNCEMENT_LIMIT: u32 = 10;
-
 /// Part of the announcement lifetime after which a silent database no longer counts as
 /// a successor of a draining primary: two announcements may be missed.
 const SUCCESSOR_SILENCE_DIVISOR: u32 = 4;
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -261,14 +261,17 @@
         }
         // An acknowledged commit is on at least `sync_replicas` replicas, so that one
         // of those that answered has it if fewer did not answer.
-        let is_old_primary = |record: &&InstanceRecord| record.key.id == term.primary.id;
-        let (old, replicas): (Vec<&InstanceRecord>, Vec<&InstanceRecord>) =
-            candidates.iter().partition(|record| is_old_primary(record));
-        let missing = replicas.iter().filter(|record| !self.has_answered(&record.key)).count();
+        let is_old_primary = |record: &InstanceRecord| record.key.id == term.primary.id;
+        let missing = candidates
+            .iter()
+            .filter(|record| !is_old_primary(record) && !self.has_answered(&record.key))
+            .count();
         if missing < sync_replicas as usize {
             return Some(CandidateOrder::LongestReplica);
         }
-        let old_answered = old.iter().any(|record| self.has_answered(&record.key));
+        let old_answered = candidates
+            .iter()
+            .any(|record| is_old_primary(record) && self.has_answered(&record.key));
         old_answered.then_some(CandidateOrder::LongestLog)
     }
 
