--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -251,9 +251,9 @@
                 }
                 self.step(event);
             }
-            LinkEvent::EntryOpened(host, number, queue) => {
+            LinkEvent::EntryOpened { host, data_centre, number, queue } => {
                 self.entry_links.insert(host, (number, queue));
-                self.step(ControlEvent::EntryLinked(host));
+                self.step(ControlEvent::EntryLinked(host, data_centre));
             }
             LinkEvent::EntryClosed(host, number) => {
                 if self.entry_links.get(&host).is_some_and(|(current, _)| *current == number) {
--- a/crates/daemon/src/control_role/peer_links.rs
+++ b/crates/daemon/src/control_role/peer_links.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     control_role::{ControlEvent, ControlMessage, EntryUpdate, LinkFrame, LinkRole},
@@ -32,7 +32,12 @@
     Control(ControlEvent),
     /// An entry host opened the link with this number; updates for it go to
     /// the queue.
-    EntryOpened(HostId, u64, mpsc::Sender<EntryUpdate>),
+    EntryOpened {
+        host: HostId,
+        data_centre: Option<Arc<str>>,
+        number: u64,
+        queue: mpsc::Sender<EntryUpdate>,
+    },
     /// The entry host's link with this number closed.
     EntryClosed(HostId, u64),
 }
@@ -97,7 +102,9 @@
         Some(opened) => opened?,
         None => dialler.open_link().await?,
     };
-    writer.send(&LinkFrame::Hello { role: LinkRole::Control, host: own_id }).await?;
+    writer
+        .send(&LinkFrame::Hello { role: LinkRole::Control, host: own_id, data_centre: None })
+        .await?;
     loop {
         tokio::select! {
             biased;
@@ -139,13 +146,13 @@
 ) -> io::Result<()> {
     let (mut reader, writer) = frame_connection(stream)?;
     match timeout(HELLO_TIMEOUT, reader.next()).await?? {
-        Some(LinkFrame::Hello { role: LinkRole::Control, host }) => {
+        Some(LinkFrame::Hello { role: LinkRole::Control, host, .. }) => {
             send(events, ControlEvent::PeerLinked(host));
             receive_messages(host, &mut reader, events).await
         }
-        Some(LinkFrame::Hello { role: LinkRole::Entry, host }) => {
+        Some(LinkFrame::Hello { role: LinkRole::Entry, host, data_centre }) => {
             let (queue, updates) = mpsc::channel(ENTRY_QUEUE_LENGTH);
-            let _ = events.send(LinkEvent::EntryOpened(host, number, queue));
+            let _ = events.send(LinkEvent::EntryOpened { host, data_centre, number, queue });
             let result = serve_entry(host, &mut reader, writer, updates, events).await;
             let _ = events.send(LinkEvent::EntryClosed(host, number));
             result
--- a/crates/daemon/src/control_role/status_query.rs
+++ b/crates/daemon/src/control_role/status_query.rs
@@ -55,7 +55,10 @@
         let mut lines = LineStream::new(stream);
         let mut out = Vec::new();
         let (service, instance) = (&*self.service, &*self.key.id);
-        protocol.encode_command(&mut out, UpstreamCommand::Open { service, client, instance });
+        protocol.encode_command(
+            &mut out,
+            UpstreamCommand::Open { service, client, instance: Some(instance) },
+        );
         lines.send(&out).await?;
         wait_until_ready(&mut lines, protocol).await?;
         out.clear();
--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -12,6 +12,6 @@
 };
 pub use promotion_client::{PromotionClient, PromotionOrder};
 pub use upstream_protocol::{
-    ForwardUrgency, ForwardedCommand, MalformedReply, UpstreamCode, UpstreamCommand,
+    ForwardUrgency, ForwardedCommand, MalformedReply, ReadTerms, UpstreamCode, UpstreamCommand,
     UpstreamProtocol, UpstreamReply,
 };
--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -18,6 +18,17 @@
     pub objective: Duration,
     /// Time since its arrival.
     pub waited: Duration,
+    /// Set on connections to a service, whose gateway chooses the database.
+    pub read: Option<ReadTerms>,
+}
+
+/// What a gateway must know to choose the database for a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTerms {
+    /// Maximum age of the data that the read sees.
+    pub max_age: Duration,
+    /// Time left for the answer.
+    pub time_left: Duration,
 }
 
 /// A command that is sent to a database.
@@ -30,8 +41,9 @@
         service: &'a str,
         /// Name of the host that connects.
         client: &'a str,
-        /// Id that the database must have.
-        instance: &'a str,
+        /// Id that the database must have; `None` at a gateway that is to choose a
+        /// database of the service for each read.
+        instance: Option<&'a str>,
     },
     /// A caller's statement, as the caller sent it.
     Statement {
@@ -88,12 +100,12 @@
 /// gateway decodes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ForwardedCommand {
-    /// Opens the connection, for one database.
+    /// Opens the connection, for one database or for reads of a service.
     Open {
         /// Service to which the database must belong.
         service: Arc<str>,
-        /// Id that the database must have.
-        instance: Arc<str>,
+        /// Id that the database must have; `None` for reads at any database.
+        instance: Option<Arc<str>>,
     },
     /// A caller's statement.
     Statement {
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -3,7 +3,6 @@
 use hawthornstack_decisions::{
     clock::Moment,
     entry_role::{SessionState, TransactionPhase},
-    instances::InstanceKey,
     positions::LogPosition,
     routes::{RouteKind, RouteRule},
 };
@@ -13,17 +12,13 @@
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     statement_run::{
-        AssignError, AssignedConnection, ROLLBACK_TIMEOUT, RunLimits, assign_connection,
-        encode_statement, pause_before_retry, run_exchange,
+        AssignError, AssignedConnection, ROLLBACK_TIMEOUT, RunLimits, TriedUpstreams,
+        assign_connection, encode_statement, pause_before_retry, run_exchange,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
 use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
-/// Percentage of a read's remaining time for the first database; the rest is left
-/// for an attempt at another one.
-const FIRST_READ_PERCENT: u32 = 60;
-
 /// Reply to a caller's statement.
 pub(super) enum CallerReply {
     /// Success without involving a database.
@@ -82,6 +77,9 @@
     opened: Option<Moment>,
     /// Log position reported with the last answer of a database.
     pub(super) position: Option<LogPosition>,
+    /// Route of the statements that another host forwards; callers have that of their
+    /// database.
+    pub(super) forwarded_route: Option<Arc<RouteRule>>,
 }
 
 impl CallerSession {
@@ -94,6 +92,7 @@
             wrote: false,
             opened: Some(opened),
             position: None,
+            forwarded_route: None,
         }
     }
 
@@ -111,6 +110,16 @@
         self.state.transaction == TransactionPhase::Idle
     }
 
+    /// Sets when the next statement began to wait.
+    pub(super) fn set_arrival(&mut self, arrived: Moment) {
+        self.opened = Some(arrived);
+    }
+
+    /// When the statement began to wait.
+    pub(super) fn take_arrival(&mut self) -> Moment {
+        self.opened.take().unwrap_or_else(|| self.shared.now())
+    }
+
     /// Time for which a pinned transaction may wait for its next statement.
     pub(super) fn idle_limit(&self) -> Option<Duration> {
         self.pinned.as_ref()?;
@@ -169,7 +178,10 @@
 
     async fn run_at_database(&mut self, statement: &CallerStatement) -> CallerReply {
         let mut trace = RequestTrace::new(&statement.id, self.shared.now());
-        let route = self.shared.view.borrow().route(&self.database);
+        let route = match &self.forwarded_route {
+            Some(route) => Some(route.clone()),
+            None => self.shared.view.borrow().route(&self.database),
+        };
         let reply = self.run_traced(statement, route.as_deref(), &mut trace).await;
         self.finish_trace(trace, statement, route.as_deref(), &reply);
         reply
@@ -194,7 +206,10 @@
         let view = self.shared.view.borrow();
         let end = TraceEnd {
             database: &self.database,
-            route_kind: route.map_or("none", |route| route.kind.name()),
+            route_kind: match &self.forwarded_route {
+                Some(_) => "forwarded",
+                None => route.map_or("none", |route| route.kind.name()),
+            },
             action: statement.action.name(),
             outcome,
             hint,
@@ -221,7 +236,7 @@
             return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
         };
         let deadline = Instant::now() + route.timeout;
-        let arrived = self.opened.take().unwrap_or_else(|| self.shared.now());
+        let arrived = self.take_arrival();
         match self.state.transaction {
             TransactionPhase::Begun { read_only } => {
                 self.run_first_statement(route, statement, read_only, arrived, deadline, trace)
@@ -261,7 +276,7 @@
             writes,
             last_commit: self.state.last_commit,
         };
-        let mut tried = Vec::new();
+        let mut tried = TriedUpstreams::default();
         loop {
             let connection = match assign_connection(&self.shared, &limits, &mut tried, trace).await
             {
@@ -284,7 +299,7 @@
         mut connection: AssignedConnection,
         statement: &CallerStatement,
         limits: &RunLimits<'_>,
-        tried: &mut Vec<InstanceKey>,
+        tried: &mut TriedUpstreams,
         trace: &mut RequestTrace,
     ) -> AttemptEnd {
         let mut out = Vec::with_capacity(statement.text.len() + 64);
@@ -295,10 +310,9 @@
         };
         let restore_count =
             encode_statement(&self.shared, link, &self.state, statement, after, &mut out);
-        let until = attempt_deadline(limits, tried);
+        let until = limits.attempt_deadline(tried);
         let result =
             run_exchange(&self.shared, &mut connection, &out, restore_count, until, trace).await;
-        let key = connection.pooled.record().key.clone();
         let answer = match result {
             Ok(answer) => answer,
             Err(error) if limits.writes => {
@@ -314,7 +328,7 @@
                 return AttemptEnd::Reply(CallerReply::Refused(CallerRefusal::TimedOut, hint));
             }
             Err(_) => {
-                tried.push(key);
+                tried.add(connection.instance());
                 trace.record(self.shared.now(), TraceStep::Retried { reason: "no answer" });
                 return AttemptEnd::Retry;
             }
@@ -352,7 +366,7 @@
         connection: &AssignedConnection,
         answer: &UpstreamAnswer,
         only_reads: bool,
-        tried: &mut Vec<InstanceKey>,
+        tried: &mut TriedUpstreams,
     ) -> RetryDecision {
         let AnswerEnd::Refused(code) = answer.end else {
             return RetryDecision::Final;
@@ -362,21 +376,21 @@
                 RetryDecision::AfterPause
             }
             UpstreamCode::Lagging | UpstreamCode::Misrouted => {
-                let key = &connection.pooled.record().key;
-                if let Some(position) = connection.after {
+                if let (Some(key), Some(position)) = (connection.instance(), connection.after) {
                     let now = self.shared.now();
                     self.shared.view.borrow_mut().loads.record_lag(now, key, position);
                 }
-                tried.push(key.clone());
+                tried.add(connection.instance());
                 match code {
                     UpstreamCode::Lagging => RetryDecision::AtOnce,
                     _ => RetryDecision::AfterPause,
                 }
             }
             UpstreamCode::Failed
-                if only_reads && !tried.contains(&connection.pooled.record().key) =>
+                if only_reads
+                    && connection.instance().is_some_and(|key| !tried.instances.contains(key)) =>
             {
-                tried.push(connection.pooled.record().key.clone());
+                tried.add(connection.instance());
                 RetryDecision::AtOnce
             }
             UpstreamCode::ConnectionLimit | UpstreamCode::Failed | UpstreamCode::Other => {
@@ -413,15 +427,6 @@
     }
 }
 
-/// Deadline of one attempt; the first attempt of a read leaves time for a second.
-fn attempt_deadline(limits: &RunLimits<'_>, tried: &[InstanceKey]) -> Instant {
-    if limits.writes || !tried.is_empty() {
-        return limits.deadline;
-    }
-    let now = Instant::now();
-    now + limits.deadline.saturating_duration_since(now) * FIRST_READ_PERCENT / 100
-}
-
 fn refuse_unknown_statement() -> CallerReply {
     CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
 }
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -2,7 +2,7 @@
 
 use hawthornstack_decisions::{
     control_role::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
-    entry_role::StateConfirmations,
+    entry_role::{GatewayMap, StateConfirmations},
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
     primaries::{ServiceTerm, TermPhase},
@@ -179,7 +179,12 @@
                 }
             }
             EntryUpdate::Hosts(hosts) => return self.dial_all(&hosts),
-            EntryUpdate::EntryHosts(hosts) => shared.view.borrow_mut().set_entry_hosts(hosts),
+            EntryUpdate::EntryHosts(hosts) => {
+                shared.view.borrow_mut().set_gateways(GatewayMap::without_places(hosts))
+            }
+            EntryUpdate::GatewayHosts(sites) => {
+                shared.view.borrow_mut().set_gateways(GatewayMap::by_data_centre(sites))
+            }
             EntryUpdate::Announced(records) => {
                 log_newly_draining(&shared, host, &records);
                 shared.view.borrow_mut().record_announcements(now, &records)
@@ -386,7 +391,11 @@
     events: &mpsc::UnboundedSender<LinkEvent>,
 ) -> io::Result<()> {
     let (mut reader, mut writer) = dialler.open_link().await?;
-    let hello = LinkFrame::Hello { role: LinkRole::Entry, host: shared.settings.host };
+    let hello = LinkFrame::Hello {
+        role: LinkRole::Entry,
+        host: shared.settings.host,
+        data_centre: Some(shared.settings.data_centre.clone()),
+    };
     writer.send(&hello).await?;
     let _ = events.send(LinkEvent::Opened(host));
     loop {
--- a/crates/daemon/src/entry_role/database_pool.rs
+++ b/crates/daemon/src/entry_role/database_pool.rs
@@ -3,7 +3,6 @@
 use hawthornstack_decisions::{
     entry_role::{InflightWindow, QueuedStatement, next_in_queue},
     identity::HostId,
-    instances::InstanceRecord,
     positions::LogPosition,
 };
 use opentelemetry::KeyValue;
@@ -14,6 +13,7 @@
 
 use super::{
     entry_shared::EntryShared,
+    pool_target::PoolTarget,
     upstream_link::{OpenError, UpstreamLink},
 };
 use crate::{clock::BootClock, links::host_address, metrics::HostMetrics};
@@ -83,11 +83,11 @@
     refusals: u32,
 }
 
-/// Connections of this host to one database instance; a restarted database is a new
-/// instance with a pool of its own.
+/// Connections of this host to one database instance, or to a gateway of a service;
+/// a restarted database is a new instance with a pool of its own.
 #[derive(Debug)]
 pub(super) struct DatabasePool {
-    record: InstanceRecord,
+    target: PoolTarget,
     /// The gateway through which it is reached, if not directly.
     gateway: Option<HostId>,
     state: RefCell<PoolState>,
@@ -95,7 +95,7 @@
 
 impl DatabasePool {
     pub(super) fn new(
-        record: &InstanceRecord,
+        target: PoolTarget,
         gateway: Option<HostId>,
         hosts: u32,
         share: usize,
@@ -106,16 +106,16 @@
             open: 0,
             share,
             running: 0,
-            window: InflightWindow::new(record.slots, hosts, share),
+            window: InflightWindow::new(target.slots(), hosts, share),
             waiters: Vec::new(),
             full_until: None,
             refusals: 0,
         };
-        Rc::new(Self { record: record.clone(), gateway, state: RefCell::new(state) })
+        Rc::new(Self { target, gateway, state: RefCell::new(state) })
     }
 
-    pub(super) fn record(&self) -> &InstanceRecord {
-        &self.record
+    pub(super) fn target(&self) -> &PoolTarget {
+        &self.target
     }
 
     pub(super) fn gateway(&self) -> Option<HostId> {
@@ -186,7 +186,7 @@
         tracing::info!(
             target: "entry",
             request = id,
-            instance = %self.record.key,
+            instance = %self.target.key(),
             open = state.open,
             idle = state.idle.len(),
             running = state.running,
@@ -201,7 +201,8 @@
     /// Updates the gauges of this database.
     pub(super) fn update_gauges(&self, metrics: &HostMetrics) {
         let state = self.state.borrow();
-        let name = KeyValue::new("database", self.record.key.id.to_string());
+        let name =
+            KeyValue::new("database", self.target.instance_id().unwrap_or("any").to_string());
         let counts = [
             ("idle", state.idle.len()),
             ("running", state.running),
@@ -254,12 +255,13 @@
         // cancelled while the connection is being opened.
         let mut pooled = self.check_out(None);
         let protocol = &*shared.upstreams;
-        let address = match self.gateway {
-            Some(gateway) => host_address(gateway, shared.settings.forward_port),
-            None => self.record.address,
+        let address = match (self.gateway, self.target.record()) {
+            (Some(gateway), _) => host_address(gateway, shared.settings.forward_port),
+            (None, Some(record)) => record.address,
+            (None, None) => return Err(OpenError::Unreachable),
         };
         let name = &shared.settings.name;
-        let (link, position) = UpstreamLink::open(protocol, &self.record, address, name).await?;
+        let (link, position) = UpstreamLink::open(protocol, &self.target, address, name).await?;
         pooled.link = Some(link);
         pooled.position_at_open = position;
         self.state.borrow_mut().refusals = 0;
@@ -395,8 +397,8 @@
         self.link.as_mut()
     }
 
-    pub(super) fn record(&self) -> &InstanceRecord {
-        self.pool.record()
+    pub(super) fn target(&self) -> &PoolTarget {
+        self.pool.target()
     }
 
     /// The gateway through which the database is reached, if not directly.
--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -9,14 +9,19 @@
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::EntryReport,
-    entry_role::{DatabasePath, EntryView, GatewayLoad, choose_gateway},
+    entry_role::{DatabasePath, EntryView, GatewayLoad, PathInputs, choose_gateway},
     identity::HostId,
-    instances::{InstanceKey, InstanceRecord},
+    instances::InstanceRecord,
 };
 use tokio::sync::{Notify, mpsc};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{EntrySettings, database_pool::DatabasePool, request_trace::TraceBudget};
+use super::{
+    EntrySettings,
+    database_pool::DatabasePool,
+    pool_target::{PoolKey, PoolTarget, TargetKey},
+    request_trace::TraceBudget,
+};
 use crate::{
     clock::BootClock,
     edges::{CallerProtocol, UpstreamProtocol},
@@ -49,8 +54,8 @@
     ClosingAll,
 }
 
-/// A database and the gateway through which it is reached, if any.
-type PoolKey = (InstanceKey, Option<HostId>);
+/// A path to a service, and what it was computed from.
+type KnownPath = (PathInputs, Rc<DatabasePath>);
 
 /// State shared by the tasks of an entry host, which all run on one thread.
 pub(super) struct EntryShared {
@@ -72,9 +77,11 @@
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
+    /// Paths to services.
+    paths: RefCell<HashMap<Arc<str>, KnownPath>>,
     /// Gateways that could not be reached, and until when they are not chosen.
     avoided_gateways: RefCell<HashMap<HostId, Moment>>,
-    gateway_loads: RefCell<HashMap<InstanceKey, BTreeMap<HostId, GatewayLoad>>>,
+    gateway_loads: RefCell<HashMap<TargetKey, BTreeMap<HostId, GatewayLoad>>>,
     /// Number of open writes by service and term.
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
@@ -105,6 +112,7 @@
             metrics,
             traces: TraceBudget::default(),
             pools: RefCell::new(HashMap::new()),
+            paths: RefCell::new(HashMap::new()),
             avoided_gateways: RefCell::new(HashMap::new()),
             gateway_loads: RefCell::new(HashMap::new()),
             writes: RefCell::new(BTreeMap::new()),
@@ -127,39 +135,58 @@
 
     /// The pool of connections to a database, direct or through a gateway.
     pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
-        match self.path_to(record) {
+        let target = PoolTarget::Database(record.clone());
+        match &*self.path_to(&record.service) {
             DatabasePath::Direct { connections } => {
-                self.pool_via(record, None, connections as usize)
+                self.pool_via(target, None, *connections as usize)
             }
             DatabasePath::Gateways(gateways) => {
-                self.pool_via(record, self.pick_gateway(record, &gateways), GATEWAY_LINKS)
+                let gateway = self.pick_gateway(&target, gateways);
+                self.pool_via(target, gateway, GATEWAY_LINKS)
             }
         }
     }
 
+    /// The pool of connections to a gateway that chooses the database for each read
+    /// of a service; `None` if this host chooses it.
+    pub(super) fn service_pool(&self, service: &Arc<str>) -> Option<Rc<DatabasePool>> {
+        if !self.view.borrow().gateways_choose_databases() {
+            return None;
+        }
+        let path = self.path_to(service);
+        let DatabasePath::Gateways(gateways) = &*path else {
+            return None;
+        };
+        let target = PoolTarget::Service(service.clone());
+        let gateway = self.pick_gateway(&target, gateways)?;
+        Some(self.pool_via(target, Some(gateway), GATEWAY_LINKS))
+    }
+
     /// The pool of this host's direct connections to a database.
     pub(super) fn direct_pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
-        self.pool_via(record, None, self.connection_share(record, None))
+        let target = PoolTarget::Database(record.clone());
+        let share = self.connection_share(&target, None);
+        self.pool_via(target, None, share)
     }
 
     fn pool_via(
         &self,
-        record: &InstanceRecord,
+        target: PoolTarget,
         gateway: Option<HostId>,
         share: usize,
     ) -> Rc<DatabasePool> {
         let hosts = self.view.borrow().entry_hosts();
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.entry((record.key.clone(), gateway));
-        let pool = pool.or_insert_with(|| DatabasePool::new(record, gateway, hosts, share));
+        let pool = pools.entry((target.key(), gateway));
+        let pool = pool.or_insert_with(|| DatabasePool::new(target, gateway, hosts, share));
         pool.set_share(share);
         pool.clone()
     }
 
-    fn pick_gateway(&self, record: &InstanceRecord, gateways: &[HostId]) -> Option<HostId> {
+    fn pick_gateway(&self, target: &PoolTarget, gateways: &[HostId]) -> Option<HostId> {
         let (avoided_gateways, loads) =
             (self.avoided_gateways.borrow(), self.gateway_loads.borrow());
-        let loads = loads.get(&record.key);
+        let loads = loads.get(&target.key());
         let load_of = |gateway: &HostId| {
             let mut load = loads.and_then(|loads| loads.get(gateway)).copied().unwrap_or_default();
             avoided_gateways.get(gateway).into_iter().for_each(|until| load.avoid_until(*until));
@@ -169,17 +196,17 @@
         choose_gateway(&candidate_loads, self.now()).map(|index| gateways[index])
     }
 
-    /// Records the time of a gateway's answer for a database, or that it had no
+    /// Records the time of a gateway's answer for a target, or that it had no
     /// free connection.
     pub(super) fn record_gateway_answer(
         &self,
-        key: &InstanceKey,
+        target: &PoolTarget,
         gateway: HostId,
         took: Duration,
         busy: bool,
     ) {
         let mut loads = self.gateway_loads.borrow_mut();
-        let load = loads.entry(key.clone()).or_default().entry(gateway).or_default();
+        let load = loads.entry(target.key()).or_default().entry(gateway).or_default();
         match busy {
             true => load.record_no_connection(self.now()),
             false => load.record_answer(took),
@@ -191,12 +218,23 @@
         self.avoided_gateways.borrow_mut().insert(gateway, self.now() + GATEWAY_AVOIDANCE);
     }
 
-    fn path_to(&self, record: &InstanceRecord) -> DatabasePath {
+    /// How this host reaches the databases of a service. Ranking all hosts for each
+    /// statement would take longer than all else that a small host does for it.
+    fn path_to(&self, service: &Arc<str>) -> Rc<DatabasePath> {
         let view = self.view.borrow();
-        let rule = view.routes().and_then(|table| table.service(&record.service));
+        let rule = view.routes().and_then(|table| table.service(service));
         let limit = rule.map_or(1, |rule| rule.max_connections).max(1);
         let connections = limit.saturating_sub(RESERVED_CONNECTIONS).max(1);
-        view.path_to(self.settings.host, &record.key.id, connections)
+        let inputs = view.path_inputs(connections);
+        let mut paths = self.paths.borrow_mut();
+        if let Some((known_inputs, path)) = paths.get(service)
+            && *known_inputs == inputs
+        {
+            return path.clone();
+        }
+        let path = Rc::new(view.path_to(self.settings.host, service, connections));
+        paths.insert(service.clone(), (inputs, path.clone()));
+        path
     }
 
     /// Updates the share of each pool, closes surplus idle connections and those
@@ -204,13 +242,18 @@
     pub(super) fn trim_pools(&self) {
         let pools: Vec<Rc<DatabasePool>> = self.pools.borrow().values().cloned().collect();
         self.decay_gateway_loads();
+        let view = self.view.borrow();
+        let is_configured =
+            |service: &str| view.routes().is_some_and(|table| table.service(service).is_some());
+        self.paths.borrow_mut().retain(|service, _| is_configured(service));
+        drop(view);
         for pool in pools {
-            let gone = self.view.borrow().instance(&pool.record().key).is_none();
-            let share = self.connection_share(pool.record(), pool.gateway());
+            let gone = !is_known(&self.view.borrow(), &pool.target().key());
+            let share = self.connection_share(pool.target(), pool.gateway());
             pool.set_share(share);
             pool.close_idle((share / IDLE_SHARE_DIVISOR).max(1), gone);
             if gone && pool.is_empty() {
-                self.pools.borrow_mut().remove(&(pool.record().key.clone(), pool.gateway()));
+                self.pools.borrow_mut().remove(&(pool.target().key(), pool.gateway()));
             }
         }
     }
@@ -220,16 +263,16 @@
     fn decay_gateway_loads(&self) {
         let view = self.view.borrow();
         let mut loads = self.gateway_loads.borrow_mut();
-        loads.retain(|key, _| view.instance(key).is_some());
+        loads.retain(|target, _| is_known(&view, target));
         loads.values_mut().flat_map(BTreeMap::values_mut).for_each(GatewayLoad::decay);
     }
 
     /// Number of connections that this host may open to a database, or to a
     /// gateway for it.
-    fn connection_share(&self, record: &InstanceRecord, gateway: Option<HostId>) -> usize {
-        match (gateway, self.path_to(record)) {
+    fn connection_share(&self, target: &PoolTarget, gateway: Option<HostId>) -> usize {
+        match (gateway, &*self.path_to(target.service())) {
             (Some(_), _) => GATEWAY_LINKS,
-            (None, DatabasePath::Direct { connections }) => connections as usize,
+            (None, DatabasePath::Direct { connections }) => *connections as usize,
             // This host is no longer a gateway: running statements finish, and no
             // further connections are opened.
             (None, DatabasePath::Gateways(_)) => 0,
@@ -265,6 +308,16 @@
     }
 }
 
+/// True unless the database is gone or the service no longer configured.
+fn is_known(view: &EntryView, target: &TargetKey) -> bool {
+    match target {
+        TargetKey::Database(key) => view.instance(key).is_some(),
+        TargetKey::Service(service) => {
+            view.routes().is_some_and(|table| table.service(service).is_some())
+        }
+    }
+}
+
 /// Counts one open write or transaction until it is dropped.
 pub(super) struct WriteGuard {
     shared: Rc<EntryShared>,
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -10,6 +10,7 @@
 
 use super::{
     entry_shared::EntryShared,
+    forwarded_reads::ForwardedReads,
     request_trace::RequestTrace,
     statement_run::{
         AssignedConnection, encode_begin, encode_statement, run_exchange, spawn_rollback,
@@ -35,8 +36,12 @@
 const FORWARD_ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Urgency of a statement for which the forwarding host sent none.
-const DEFAULT_URGENCY: ForwardUrgency =
-    ForwardUrgency { priority: 1, objective: FORWARD_CONNECT_TIMEOUT, waited: Duration::ZERO };
+const DEFAULT_URGENCY: ForwardUrgency = ForwardUrgency {
+    priority: 1,
+    objective: FORWARD_CONNECT_TIMEOUT,
+    waited: Duration::ZERO,
+    read: None,
+};
 
 /// Runs statements that another entry host forwards for a database of which this
 /// host is a gateway.
@@ -61,14 +66,13 @@
         return Ok(());
     };
     let mut out = Vec::new();
-    let Some(record) = find_requested_database(shared, &line) else {
+    let Some(mut link) = open_forward(shared, &line) else {
         shared.upstreams.encode_forward_refusal(&mut out, UpstreamCode::Misrouted);
         return lines.send(&out).await;
     };
     shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
     lines.send(&out).await?;
-    let mut link = ForwardLink::new(shared, record);
-    while let Some(line) = read_command(shared, lines, &link).await? {
+    while let Some(line) = read_command(shared, lines, link.is_idle()).await? {
         out.clear();
         let command = shared.upstreams.decode_forwarded(&line).map_err(io::Error::other)?;
         link.run_command(command, &mut out).await?;
@@ -83,14 +87,48 @@
     Ok(())
 }
 
-/// The database that another host asks to open, if this host knows it.
-fn find_requested_database(shared: &EntryShared, line: &Bytes) -> Option<InstanceRecord> {
+/// The connection that another host asks to open, if this host knows the database or
+/// service.
+fn open_forward(shared: &Rc<EntryShared>, line: &Bytes) -> Option<Forward> {
     let Ok(ForwardedCommand::Open { service, instance }) = shared.upstreams.decode_forwarded(line)
     else {
         return None;
     };
     let view = shared.view.borrow();
-    view.instance_by_id(&instance).filter(|record| record.service == service).cloned()
+    let Some(instance) = instance else {
+        view.routes().and_then(|table| table.service(&service))?;
+        return Some(Forward::Reads(Box::new(ForwardedReads::new(shared, service))));
+    };
+    let record = view.instance_by_id(&instance).filter(|record| record.service == service)?;
+    Some(Forward::Database(Box::new(ForwardLink::new(shared, record.clone()))))
+}
+
+/// A connection from another host.
+enum Forward {
+    /// It uses the connection like one to the database.
+    Database(Box<ForwardLink>),
+    /// This host chooses the database for each read.
+    Reads(Box<ForwardedReads>),
+}
+
+impl Forward {
+    fn is_idle(&self) -> bool {
+        match self {
+            Self::Database(link) => link.pinned.is_none(),
+            Self::Reads(reads) => reads.is_idle(),
+        }
+    }
+
+    async fn run_command(
+        &mut self,
+        command: ForwardedCommand,
+        out: &mut Vec<u8>,
+    ) -> io::Result<()> {
+        match self {
+            Self::Database(link) => link.run_command(command, out).await,
+            Self::Reads(reads) => reads.run_command(command, out).await,
+        }
+    }
 }
 
 /// Reads the next command; `None` if the other host closed the connection, or if
@@ -98,11 +136,11 @@
 async fn read_command(
     shared: &EntryShared,
     lines: &mut LineStream,
-    link: &ForwardLink,
+    is_idle: bool,
 ) -> io::Result<Option<Bytes>> {
     loop {
         let changed = shared.changed.notified();
-        if shared.should_close_session(link.pinned.is_none()) {
+        if shared.should_close_session(is_idle) {
             return Ok(lines.take_buffered_line());
         }
         tokio::select! {
@@ -212,7 +250,9 @@
         };
         let deadline = Instant::now() + FORWARD_CONNECT_TIMEOUT;
         let pooled = pool.acquire(&self.shared, statement, deadline).await.ok()?;
-        Some(AssignedConnection::for_forward(pooled, Arc::clone(&self.record.service)))
+        let service = Arc::clone(&self.record.service);
+        let sampled_term = self.shared.view.borrow().term_led_by(&service, &self.record.key);
+        Some(AssignedConnection::for_forward(pooled, service, sampled_term))
     }
 
     async fn begin_transaction(
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -8,6 +8,8 @@
 mod entry_settings;
 mod entry_shared;
 mod forward_task;
+mod forwarded_reads;
+mod pool_target;
 mod primary_probe;
 mod request_trace;
 mod session_task;
--- a/crates/daemon/src/entry_role/request_trace.rs
+++ b/crates/daemon/src/entry_role/request_trace.rs
@@ -1,7 +1,8 @@
 use std::{cell::Cell, time::Duration};
 
-use hawthornstack_decisions::{clock::Moment, instances::InstanceKey, positions::LogPosition};
+use hawthornstack_decisions::{clock::Moment, identity::HostId, positions::LogPosition};
 
+use super::pool_target::TargetKey;
 use crate::metrics::HostMetrics;
 
 /// One in this many ordinary statements is logged with all its steps.
@@ -12,9 +13,10 @@
 /// A step in the handling of a statement, with the values that it was based on.
 #[derive(Debug, Clone)]
 pub(super) enum TraceStep {
-    /// A database was chosen.
+    /// A database was chosen, or a gateway that chooses it.
     Routed {
-        instance: InstanceKey,
+        target: TargetKey,
+        gateway: Option<HostId>,
         /// Number of the term, if the database is the primary.
         term: Option<u64>,
         /// Position that a replica must have applied.
@@ -28,7 +30,7 @@
     /// The statement waited for a connection; `got` if it was given one.
     Queued { waited: Duration, got: bool },
     /// The statement was sent; `result` says how the exchange ended.
-    Sent { instance: InstanceKey, took: Duration, result: &'static str },
+    Sent { target: TargetKey, took: Duration, result: &'static str },
     /// Another attempt follows.
     Retried { reason: &'static str },
 }
@@ -117,7 +119,7 @@
     /// Merges the step into the last one if a read chose the same database again:
     /// both waits count as one.
     fn merge_into_last(&mut self, step: &TraceStep) -> bool {
-        let [.., (_, TraceStep::Routed { instance: before, .. }), (_, last)] = &mut *self.steps
+        let [.., (_, TraceStep::Routed { target: before, .. }), (_, last)] = &mut *self.steps
         else {
             return false;
         };
@@ -125,8 +127,8 @@
             return false;
         };
         match step {
-            TraceStep::Routed { instance, .. } => {
-                let same = !*got && instance == before;
+            TraceStep::Routed { target, .. } => {
+                let same = !*got && target == before;
                 self.repeats_choice = same;
                 same
             }
@@ -192,10 +194,12 @@
         let request = &*self.id;
         let at_ms = rounded_ms(at.since(self.began));
         match step {
-            TraceStep::Routed { instance, term, after, expected_ms } => {
+            TraceStep::Routed { target: instance, gateway, term, after, expected_ms } => {
                 let after = after.map(|after| after.to_string()).unwrap_or_default();
+                let gateway = gateway.map(|gateway| gateway.to_string()).unwrap_or_default();
                 tracing::info!(
-                    target: "request", request, at_ms, %instance, term, after, expected_ms, "routed"
+                    target: "request", request, at_ms, %instance, gateway, term, after, expected_ms,
+                    "routed"
                 );
             }
             TraceStep::WaitedForPrimary { has_lease, term } => {
@@ -205,7 +209,7 @@
                 let waited_ms = rounded_ms(*waited);
                 tracing::info!(target: "request", request, at_ms, waited_ms, got, "waited");
             }
-            TraceStep::Sent { instance, took, result } => {
+            TraceStep::Sent { target: instance, took, result } => {
                 let took_ms = rounded_ms(*took);
                 tracing::info!(target: "request", request, at_ms, %instance, took_ms, result, "sent");
             }
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -2,7 +2,9 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry_role::{PrimaryAvailability, QueuedStatement, ReadTarget, RestoreStep, SessionState},
+    entry_role::{
+        EntryView, PrimaryAvailability, QueuedStatement, ReadTarget, RestoreStep, SessionState,
+    },
     instances::{InstanceKey, InstanceRecord},
     positions::LogPosition,
     routes::{RouteKind, RouteRule},
@@ -10,14 +12,15 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::{
-    database_pool::{AcquireError, PooledLink},
+    database_pool::{AcquireError, DatabasePool, PooledLink},
     entry_shared::{EntryShared, WriteGuard},
     primary_probe::probe_primary,
     request_trace::{RequestTrace, TraceStep},
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
 use crate::edges::{
-    CallerStatement, ForwardUrgency, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
+    CallerStatement, ForwardUrgency, ReadTerms, SessionPhase, StatementAction, UpstreamCode,
+    UpstreamCommand,
 };
 
 /// Time without an answer after which a primary is probed: longer than almost all
@@ -34,6 +37,12 @@
 /// Time for a database to roll back a transaction, after which its connection is
 /// closed.
 pub(super) const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Percentage of a read's remaining time for the first attempt; the rest is left for
+/// an attempt elsewhere.
+const FIRST_READ_PERCENT: u32 = 60;
+/// Attempts of one read at gateways that choose its database. Later ones choose it on
+/// this host, since the gateways may lack a lease or a database that this host knows.
+const MAX_GATEWAY_ATTEMPTS: u32 = 3;
 /// Pause after a failed attempt to reach a database or gateway.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -43,6 +52,8 @@
     pub(super) service: Arc<str>,
     /// Number of the term, if the connection leads to the primary.
     pub(super) term_number: Option<u64>,
+    /// Number of the term in which the positions in answers count as the primary's.
+    sampled_term: Option<u64>,
     /// Position that a replica must have applied.
     pub(super) after: Option<LogPosition>,
     /// Sent to a gateway ahead of the first statement.
@@ -51,9 +62,28 @@
 }
 
 impl AssignedConnection {
-    /// A direct connection to a database that runs another host's statements.
-    pub(super) fn for_forward(pooled: PooledLink, service: Arc<str>) -> Self {
-        Self { pooled, service, term_number: None, after: None, urgency: None, _write_guard: None }
+    /// A direct connection to a database that runs another host's statements. That
+    /// host checks the term; `sampled_term` is the one in which the database is the
+    /// primary as far as this host knows.
+    pub(super) fn for_forward(
+        pooled: PooledLink,
+        service: Arc<str>,
+        sampled_term: Option<u64>,
+    ) -> Self {
+        Self {
+            pooled,
+            service,
+            term_number: None,
+            sampled_term,
+            after: None,
+            urgency: None,
+            _write_guard: None,
+        }
+    }
+
+    /// The database, unless a gateway chooses it.
+    pub(super) fn instance(&self) -> Option<&InstanceKey> {
+        self.pooled.target().record().map(|record| &record.key)
     }
 
     /// Appends the urgency by which the gateway orders the next statement, if the
@@ -76,6 +106,29 @@
     ServiceEmpty,
 }
 
+/// Where a statement was tried in vain.
+#[derive(Debug, Default)]
+pub(super) struct TriedUpstreams {
+    /// Databases that are ruled out for further attempts.
+    pub(super) instances: Vec<InstanceKey>,
+    /// Failed attempts at gateways that choose the database.
+    pub(super) gateway_attempts: u32,
+}
+
+impl TriedUpstreams {
+    /// Rules out a database, or counts an attempt at a gateway.
+    pub(super) fn add(&mut self, instance: Option<&InstanceKey>) {
+        match instance {
+            Some(key) => self.instances.push(key.clone()),
+            None => self.gateway_attempts += 1,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.instances.is_empty() && self.gateway_attempts == 0
+    }
+}
+
 /// Requirements and time limits of a statement.
 pub(super) struct RunLimits<'a> {
     pub(super) route: &'a RouteRule,
@@ -98,21 +151,40 @@
         self.deadline - self.route.timeout / 2
     }
 
-    fn urgency(&self, now: Moment) -> ForwardUrgency {
+    /// Deadline of one attempt; the first attempt of a read leaves time for a second.
+    pub(super) fn attempt_deadline(&self, tried: &TriedUpstreams) -> Instant {
+        if self.writes || !tried.is_empty() {
+            return self.deadline;
+        }
+        let now = Instant::now();
+        now + self.deadline.saturating_duration_since(now) * FIRST_READ_PERCENT / 100
+    }
+
+    /// What a gateway is told; `read` if it chooses the database.
+    fn urgency(&self, now: Moment, read: Option<ReadTerms>) -> ForwardUrgency {
         ForwardUrgency {
             priority: self.route.priority,
             objective: self.route.objective,
             waited: now.since(self.arrived),
+            read,
         }
     }
+
+    /// Terms of a read for a gateway that chooses the database; `None` if the primary
+    /// must run the statement.
+    fn read_terms(&self, tried: &TriedUpstreams) -> Option<ReadTerms> {
+        let max_age = self.route.kind.max_age().filter(|_| !self.needs_primary)?;
+        let time_left = self.attempt_deadline(tried).saturating_duration_since(Instant::now());
+        Some(ReadTerms { max_age, time_left })
+    }
 }
 
-/// Chooses a database that may run the statement and acquires a connection to it.
-/// Databases that are ruled out for further attempts are added to `tried`.
+/// Chooses a database that may run the statement, or a gateway that chooses it, and
+/// acquires a connection. What is ruled out for further attempts is added to `tried`.
 pub(super) async fn assign_connection(
     shared: &Rc<EntryShared>,
     limits: &RunLimits<'_>,
-    tried: &mut Vec<InstanceKey>,
+    tried: &mut TriedUpstreams,
     trace: &mut RequestTrace,
 ) -> Result<AssignedConnection, AssignError> {
     let service = &limits.route.service;
@@ -124,8 +196,11 @@
     loop {
         let now = shared.now();
         let changed = shared.changed.notified();
-        let (record, term_number, after) = match choose_database(shared, now, limits, tried) {
-            DatabaseChoice::Use(record, term_number, after) => (record, term_number, after),
+        let (pool, term_number, after) = match choose_upstream(shared, now, limits, tried) {
+            DatabaseChoice::Gateway(pool) => (pool, None, limits.last_commit),
+            DatabaseChoice::Use(record, term_number, after) => {
+                (shared.pool(&record), term_number, after)
+            }
             DatabaseChoice::Refuse => {
                 record_wait_for_primary(shared, now, service, trace);
                 return Err(AssignError::ServiceEmpty);
@@ -138,18 +213,31 @@
                 continue;
             }
         };
-        let expected_ms = shared.view.borrow().loads.get(&record.key).expected_ms(now);
-        let instance = record.key.clone();
-        trace.record(now, TraceStep::Routed { instance, term: term_number, after, expected_ms });
-        let pool = shared.pool(&record);
+        let instance = pool.target().record().map(|record| record.key.clone());
+        let expected_ms = instance
+            .as_ref()
+            .map_or(0.0, |key| shared.view.borrow().loads.get(key).expected_ms(now));
+        trace.record(
+            now,
+            TraceStep::Routed {
+                target: pool.target().key(),
+                gateway: pool.gateway(),
+                term: term_number,
+                after,
+                expected_ms,
+            },
+        );
         let connect_deadline = limits.connect_deadline();
         let until = match limits.may_reroute {
             true => connect_deadline.min(Instant::now() + REROUTE_INTERVAL),
             false => connect_deadline,
         };
-        shared.view.borrow_mut().loads.record_start(&record.key);
+        let load_key = instance.as_ref();
+        load_key.into_iter().for_each(|key| shared.view.borrow_mut().loads.record_start(key));
         let acquired = pool.acquire(shared, statement, until).await;
-        shared.view.borrow_mut().loads.record_finish(&record.key, None);
+        load_key
+            .into_iter()
+            .for_each(|key| shared.view.borrow_mut().loads.record_finish(key, None));
         let (at, got) = (shared.now(), acquired.is_ok());
         trace.record(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
@@ -160,7 +248,7 @@
                     let mut view = shared.view.borrow_mut();
                     view.record_primary_position(shared.now(), service, term_number, now, position);
                 }
-                if !has_time_left(shared, limits, &record.key) {
+                if !has_time_left(shared, limits, instance.as_ref()) {
                     pooled.release();
                     return Err(AssignError::NoConnection);
                 }
@@ -168,17 +256,19 @@
                     pooled.release();
                     continue;
                 }
-                if !limits.writes {
+                if !limits.writes && instance.is_some() {
                     shared.metrics.count_read(term_number.is_some());
                 }
                 let guard = term_number.map(|term_number| shared.begin_write(service, term_number));
                 let guard = guard.filter(|_| limits.writes);
-                let urgency = pooled.gateway().map(|_| limits.urgency(shared.now()));
+                let read = limits.read_terms(tried).filter(|_| instance.is_none());
+                let urgency = pooled.gateway().map(|_| limits.urgency(shared.now(), read));
                 let service = service.clone();
                 return Ok(AssignedConnection {
                     pooled,
                     service,
                     term_number,
+                    sampled_term: term_number,
                     after,
                     urgency,
                     _write_guard: guard,
@@ -192,20 +282,23 @@
                 if pool.gateway().is_some() =>
             {
                 pool.gateway().into_iter().for_each(|gateway| shared.avoid_gateway(gateway));
+                if instance.is_none() {
+                    tried.add(None);
+                }
                 sleep(UNREACHABLE_PAUSE).await;
                 if Instant::now() >= limits.deadline {
                     return Err(AssignError::NoConnection);
                 }
                 continue;
             }
-            Err(AcquireError::Misrouted) => record_failure(shared, &record.key, None, service),
-            Err(AcquireError::Unreachable) => {
-                record_failure(shared, &record.key, term_number, service)
+            Err(error) => {
+                let failed_term = term_number.filter(|_| error == AcquireError::Unreachable);
+                instance.iter().for_each(|key| record_failure(shared, key, failed_term, service));
             }
         }
         match term_number {
             Some(_) => sleep(UNREACHABLE_PAUSE).await,
-            None => tried.push(record.key),
+            None => tried.add(instance.as_ref()),
         }
         if Instant::now() >= limits.deadline {
             return Err(AssignError::NoConnection);
@@ -233,24 +326,33 @@
     /// At this database: in this term if it is the primary, else once it has applied
     /// the position.
     Use(InstanceRecord, Option<u64>, Option<LogPosition>),
+    /// Where the gateway of this pool decides.
+    Gateway(Rc<DatabasePool>),
     /// Nowhere until the primary is replaced or the lease renewed.
     Wait,
     /// Nowhere until another database joins the service.
     Refuse,
 }
 
-fn choose_database(
+fn choose_upstream(
     shared: &EntryShared,
     now: Moment,
     limits: &RunLimits<'_>,
-    tried: &[InstanceKey],
+    tried: &TriedUpstreams,
 ) -> DatabaseChoice {
-    let view = shared.view.borrow();
     let service = &limits.route.service;
-    if !limits.needs_primary && limits.route.kind != RouteKind::Primary {
+    let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
+    if !needs_primary
+        && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
+        && let Some(pool) = shared.service_pool(service)
+    {
+        return DatabaseChoice::Gateway(pool);
+    }
+    let view = shared.view.borrow();
+    if !needs_primary {
         let requirement = view.read_requirement(now, limits.route, limits.last_commit);
         if let ReadTarget::Replica { record, position } =
-            view.read_target(now, service, requirement, tried)
+            view.read_target(now, service, requirement, &tried.instances)
         {
             return DatabaseChoice::Use(record, None, Some(position));
         }
@@ -266,9 +368,10 @@
 
 /// True if the database will probably answer in time. A statement that is sent with
 /// too little time left for an answer can only end with an unknown outcome.
-fn has_time_left(shared: &EntryShared, limits: &RunLimits<'_>, key: &InstanceKey) -> bool {
+fn has_time_left(shared: &EntryShared, limits: &RunLimits<'_>, key: Option<&InstanceKey>) -> bool {
     let left = limits.deadline.saturating_duration_since(Instant::now());
-    let usual = shared.view.borrow().loads.get(key).usual_latency();
+    let load = key.map(|key| shared.view.borrow().loads.get(key)).unwrap_or_default();
+    let usual = load.usual_latency();
     left >= usual.min(limits.route.timeout / MIN_TIME_DIVISOR)
 }
 
@@ -305,18 +408,19 @@
     deadline: Instant,
     trace: &mut RequestTrace,
 ) -> Result<UpstreamAnswer, LinkError> {
-    let key = connection.pooled.record().key.clone();
+    let target = connection.pooled.target().clone();
+    let key = target.record().map(|record| &record.key);
     let (service, term_number) = (connection.service.clone(), connection.term_number);
     let Some(link) = connection.pooled.link() else {
         return Err(LinkError::Broken);
     };
     let sent_at = shared.now();
-    shared.view.borrow_mut().loads.record_start(&key);
+    key.into_iter().for_each(|key| shared.view.borrow_mut().loads.record_start(key));
     let exchange = link.exchange(&*shared.upstreams, out, restore_count);
     let result = watch_exchange(shared, &service, term_number, deadline, exchange).await;
     let now = shared.now();
     let sent = TraceStep::Sent {
-        instance: key.clone(),
+        target: target.key(),
         took: now.since(sent_at),
         result: result_name(&result),
     };
@@ -325,33 +429,42 @@
         let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
         connection.pooled.record_answer(busy);
         if let Some(gateway) = connection.pooled.gateway() {
-            shared.record_gateway_answer(&key, gateway, now.since(sent_at), busy);
+            shared.record_gateway_answer(&target, gateway, now.since(sent_at), busy);
         }
     }
-    let mut view = shared.view.borrow_mut();
-    view.loads.record_finish(&key, result.is_ok().then(|| now.since(sent_at)));
-    if let Ok(answer) = &result {
-        match answer.end {
-            AnswerEnd::Done => view.loads.record_result(now, &key, false),
-            AnswerEnd::Refused(UpstreamCode::Failed) => view.loads.record_result(now, &key, true),
-            AnswerEnd::Refused(_) => {}
-        }
-        if let Some(position) = answer.position {
-            view.loads.record_position(&key, position);
-            if let Some(term_number) = term_number {
-                view.record_primary_position(now, &service, term_number, sent_at, position);
+    if let Some(key) = key {
+        let mut view = shared.view.borrow_mut();
+        view.loads.record_finish(key, result.is_ok().then(|| now.since(sent_at)));
+        if let Ok(answer) = &result {
+            record_answer(&mut view, now, key, answer);
+            if let Some((term, position)) = connection.sampled_term.zip(answer.position) {
+                view.record_primary_position(now, &service, term, sent_at, position);
             }
         }
     }
-    drop(view);
-    if let (Err(LinkError::Broken), Some(gateway)) = (&result, connection.pooled.gateway()) {
-        shared.avoid_gateway(gateway);
-    } else if matches!(result, Err(LinkError::Broken | LinkError::TimedOut)) {
-        record_failure(shared, &key, term_number, &service);
+    match (&result, connection.pooled.gateway(), key) {
+        (Err(LinkError::Broken), Some(gateway), _)
+        | (Err(LinkError::TimedOut), Some(gateway), None) => shared.avoid_gateway(gateway),
+        (Err(LinkError::Broken | LinkError::TimedOut), _, Some(key)) => {
+            record_failure(shared, key, term_number, &service);
+        }
+        _ => {}
     }
     result
 }
 
+/// Records what an answer tells about the health and position of its database.
+fn record_answer(view: &mut EntryView, now: Moment, key: &InstanceKey, answer: &UpstreamAnswer) {
+    match answer.end {
+        AnswerEnd::Done => view.loads.record_result(now, key, false),
+        AnswerEnd::Refused(UpstreamCode::Failed) => view.loads.record_result(now, key, true),
+        AnswerEnd::Refused(_) => {}
+    }
+    if let Some(position) = answer.position {
+        view.loads.record_position(key, position);
+    }
+}
+
 fn result_name(result: &Result<UpstreamAnswer, LinkError>) -> &'static str {
     match result {
         Ok(answer) => match answer.end {
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -1,7 +1,6 @@
 use hawthornstack_decisions::{
     clock::Moment,
     entry_role::TransactionPhase,
-    instances::InstanceKey,
     routes::{RouteKind, RouteRule},
 };
 use tokio::time::Instant;
@@ -10,8 +9,8 @@
     caller_session::{CallerReply, CallerSession, RetryDecision, refuse_unassigned, retry_reason},
     request_trace::{RequestTrace, TraceStep},
     statement_run::{
-        AssignedConnection, RunLimits, assign_connection, encode_begin, encode_statement,
-        pause_before_retry, run_exchange, spawn_rollback,
+        AssignedConnection, RunLimits, TriedUpstreams, assign_connection, encode_begin,
+        encode_statement, pause_before_retry, run_exchange, spawn_rollback,
     },
     upstream_link::{AnswerEnd, UpstreamAnswer},
 };
@@ -40,6 +39,46 @@
         deadline: Instant,
         trace: &mut RequestTrace,
     ) -> CallerReply {
+        match self.open_transaction(route, read_only, arrived, deadline, trace).await {
+            Ok(connection) => {
+                self.state.transaction = TransactionPhase::Pinned { read_only };
+                self.wrote = false;
+                self.run_pinned(connection, statement, deadline, trace).await
+            }
+            Err(refusal) => {
+                self.state.transaction = TransactionPhase::Failed;
+                refusal
+            }
+        }
+    }
+
+    /// Begins a read-only transaction for another host at a database, so that the host
+    /// can try elsewhere if none has room.
+    pub(super) async fn begin_forwarded_read(&mut self, route: &RouteRule) -> CallerReply {
+        let mut trace = RequestTrace::new(b"-", self.shared.now());
+        let deadline = Instant::now() + route.timeout;
+        let arrived = self.take_arrival();
+        match self.open_transaction(route, true, arrived, deadline, &mut trace).await {
+            Ok(mut connection) => {
+                self.state.transaction = TransactionPhase::Pinned { read_only: true };
+                self.wrote = false;
+                connection.pooled.pin();
+                self.pinned = Some(connection);
+                CallerReply::Done
+            }
+            Err(refusal) => refusal,
+        }
+    }
+
+    /// Acquires a connection and begins a transaction on it; the refusal if that fails.
+    async fn open_transaction(
+        &mut self,
+        route: &RouteRule,
+        read_only: bool,
+        arrived: Moment,
+        deadline: Instant,
+        trace: &mut RequestTrace,
+    ) -> Result<AssignedConnection, CallerReply> {
         let limits = RunLimits {
             route,
             arrived,
@@ -49,37 +88,27 @@
             writes: !read_only,
             last_commit: self.state.last_commit,
         };
-        let mut tried = Vec::new();
+        let mut tried = TriedUpstreams::default();
         while Instant::now() < deadline {
-            let connection = match assign_connection(&self.shared, &limits, &mut tried, trace).await
-            {
-                Ok(connection) => connection,
-                Err(error) => {
-                    self.state.transaction = TransactionPhase::Failed;
-                    return refuse_unassigned(error);
-                }
-            };
+            let connection = assign_connection(&self.shared, &limits, &mut tried, trace)
+                .await
+                .map_err(refuse_unassigned)?;
             let end =
                 self.begin_transaction(connection, read_only, &mut tried, deadline, trace).await;
             match end {
-                BeginEnd::Begun(connection) => {
-                    self.state.transaction = TransactionPhase::Pinned { read_only };
-                    self.wrote = false;
-                    return self.run_pinned(*connection, statement, deadline, trace).await;
-                }
+                BeginEnd::Begun(connection) => return Ok(*connection),
                 BeginEnd::Retry => {}
                 BeginEnd::OutOfTime => break,
             }
         }
-        self.state.transaction = TransactionPhase::Failed;
-        CallerReply::Refused(CallerRefusal::NotRun, "no database had room")
+        Err(CallerReply::Refused(CallerRefusal::NotRun, "no database had room"))
     }
 
     async fn begin_transaction(
         &mut self,
         mut connection: AssignedConnection,
         read_only: bool,
-        tried: &mut Vec<InstanceKey>,
+        tried: &mut TriedUpstreams,
         deadline: Instant,
         trace: &mut RequestTrace,
     ) -> BeginEnd {
@@ -91,7 +120,6 @@
         };
         let restore_count =
             encode_begin(&self.shared, link, &self.state, read_only, after, &mut out);
-        let key = connection.pooled.record().key.clone();
         match run_exchange(&self.shared, &mut connection, &out, restore_count, deadline, trace)
             .await
         {
@@ -112,7 +140,7 @@
             }
             _ => {
                 if connection.term_number.is_none() {
-                    tried.push(key);
+                    tried.add(connection.instance());
                 }
                 BeginEnd::Retry
             }
--- a/crates/daemon/src/entry_role/upstream_link.rs
+++ b/crates/daemon/src/entry_role/upstream_link.rs
@@ -2,7 +2,6 @@
 
 use hawthornstack_decisions::{
     entry_role::{ConnectionState, RestoreStep},
-    instances::InstanceRecord,
     positions::LogPosition,
 };
 use tokio::{
@@ -10,6 +9,7 @@
     time::{Instant, timeout},
 };
 
+use super::pool_target::PoolTarget;
 use crate::{
     edges::{SessionPhase, UpstreamCode, UpstreamCommand, UpstreamProtocol, UpstreamReply},
     links::{LineStream, prepare_socket},
@@ -72,12 +72,12 @@
 }
 
 impl UpstreamLink {
-    /// Connects to the database of the record, at its own address or that of a
-    /// gateway, and returns the log position that it reported. Any other database at
-    /// the address refuses the connection.
+    /// Connects to a database, at its own address or that of a gateway, or to a
+    /// gateway for reads of a service, and returns the log position that it reported.
+    /// Any other database at the address refuses the connection.
     pub(super) async fn open(
         protocol: &dyn UpstreamProtocol,
-        record: &InstanceRecord,
+        target: &PoolTarget,
         address: SocketAddr,
         client: &str,
     ) -> Result<(Self, Option<LogPosition>), OpenError> {
@@ -89,8 +89,8 @@
         let (lines, state) = (LineStream::new(stream), ConnectionState::default());
         let mut link = Self { lines, state, opened_at: Instant::now() };
         let mut out = Vec::new();
-        let open =
-            UpstreamCommand::Open { service: &record.service, client, instance: &record.key.id };
+        let (service, instance) = (target.service(), target.instance_id());
+        let open = UpstreamCommand::Open { service, client, instance };
         protocol.encode_command(&mut out, open);
         match timeout(OPEN_TIMEOUT, link.complete_open(protocol, &out)).await {
             Ok(Ok(result)) => result.map(|position| (link, position)),
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -63,8 +63,8 @@
     PeerLinked(HostId),
     /// Another control host sent a message.
     Peer(HostId, ControlMessage),
-    /// An entry host opened a link.
-    EntryLinked(HostId),
+    /// An entry host, in this data centre if it named one, opened a link.
+    EntryLinked(HostId, Option<Arc<str>>),
     /// The link of an entry host closed.
     EntryClosed(HostId),
     /// An entry host sent a report.
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -105,8 +105,10 @@
 }
 
 /// State of an entry host as last reported.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct EntryProgress {
+    /// Its data centre, if it named one.
+    pub(super) data_centre: Option<Arc<str>>,
     pub(super) applied: u64,
     pub(super) routes_version: u64,
     pub(super) linked: bool,
@@ -215,7 +217,7 @@
             ControlEvent::Tick => self.tick(now),
             ControlEvent::PeerLinked(peer) => self.handle_peer_link(now, peer),
             ControlEvent::Peer(from, message) => self.handle_peer_message(now, from, message),
-            ControlEvent::EntryLinked(host) => self.handle_entry_link(now, host),
+            ControlEvent::EntryLinked(host, place) => self.handle_entry_link(now, host, place),
             ControlEvent::EntryClosed(host) => self.handle_entry_close(host),
             ControlEvent::Entry(host, report) => self.handle_entry_report(now, host, report),
             ControlEvent::Persisted(number) => {
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -1,21 +1,30 @@
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     ControlEffect, ControlHost, EntryReport, EntryUpdate, control_host_state::EntryProgress,
 };
-use crate::{clock::Moment, control_state::ControlCommand, identity::HostId, routes::PackedRoutes};
+use crate::{
+    clock::Moment, control_state::ControlCommand, entry_role::DataCentreHosts, identity::HostId,
+    routes::PackedRoutes,
+};
 
 /// Silence after which a host whose lease has expired is removed from the
 /// holders.
 const HOLDER_RETENTION: Duration = Duration::from_secs(15);
 
 impl ControlHost {
-    pub(super) fn handle_entry_link(&mut self, now: Moment, host: HostId) {
+    pub(super) fn handle_entry_link(
+        &mut self,
+        now: Moment,
+        host: HostId,
+        data_centre: Option<Arc<str>>,
+    ) {
         self.entry_hosts.insert(
             host,
             EntryProgress {
+                data_centre,
                 applied: 0,
                 routes_version: 0,
                 linked: true,
@@ -46,6 +55,7 @@
                 let previous = self.entry_hosts.get(&host);
                 let sent_hosts_hash = previous.map_or(0, |entry| entry.sent_hosts_hash);
                 let progress = EntryProgress {
+                    data_centre: previous.and_then(|entry| entry.data_centre.clone()),
                     applied,
                     routes_version,
                     linked: true,
@@ -100,19 +110,43 @@
     /// Sends an entry host the list of entry hosts if it has changed since the
     /// last one sent.
     fn send_entry_hosts(&mut self, host: HostId) {
-        let may_be_gateway =
-            |host: &HostId| self.entry_hosts.get(host).is_none_or(|entry| !entry.leaving);
-        let hosts: Vec<HostId> =
-            self.control.holders.iter().copied().filter(may_be_gateway).collect();
-        let bytes: Vec<u8> = hosts.iter().flat_map(|host| host.0.to_be_bytes()).collect();
-        let hash = xxh3_64(&bytes);
+        let by_data_centre =
+            self.entry_hosts.get(&host).is_some_and(|entry| entry.data_centre.is_some());
+        let update = match by_data_centre {
+            true => EntryUpdate::GatewayHosts(self.gateways_by_data_centre()),
+            false => EntryUpdate::EntryHosts(self.gateway_candidates().collect()),
+        };
+        let hash = hash_of_hosts(&update);
         let Some(entry) =
             self.entry_hosts.get_mut(&host).filter(|entry| entry.sent_hosts_hash != hash)
         else {
             return;
         };
         entry.sent_hosts_hash = hash;
-        self.send_entry(host, EntryUpdate::EntryHosts(hosts));
+        self.send_entry(host, update);
+    }
+
+    /// Holders that are not about to stop.
+    fn gateway_candidates(&self) -> impl Iterator<Item = HostId> {
+        let may_be_gateway =
+            |host: &HostId| self.entry_hosts.get(host).is_none_or(|entry| !entry.leaving);
+        self.control.holders.iter().copied().filter(may_be_gateway)
+    }
+
+    /// The candidates that named their data centres, by data centre.
+    fn gateways_by_data_centre(&self) -> Vec<DataCentreHosts> {
+        let mut sites: BTreeMap<&Arc<str>, Vec<HostId>> = BTreeMap::new();
+        for host in self.gateway_candidates() {
+            let entry = self.entry_hosts.get(&host);
+            if let Some(data_centre) = entry.and_then(|entry| entry.data_centre.as_ref()) {
+                sites.entry(data_centre).or_default().push(host);
+            }
+        }
+        let to_site = |(data_centre, hosts): (&Arc<str>, Vec<HostId>)| DataCentreHosts {
+            data_centre: data_centre.clone(),
+            hosts,
+        };
+        sites.into_iter().map(to_site).collect()
     }
 
     fn record_reachability(
@@ -221,3 +255,19 @@
         self.effects.push(ControlEffect::SendEntry(host, update));
     }
 }
+
+/// Hash of the hosts in a list for an entry host, by which an unchanged list is
+/// recognised.
+fn hash_of_hosts(update: &EntryUpdate) -> u64 {
+    let mut bytes = Vec::new();
+    let mut add_hosts = |hosts: &[HostId]| {
+        hosts.iter().for_each(|host| bytes.extend_from_slice(&host.0.to_be_bytes()));
+        bytes.push(b'/');
+    };
+    match update {
+        EntryUpdate::EntryHosts(hosts) => add_hosts(hosts),
+        EntryUpdate::GatewayHosts(sites) => sites.iter().for_each(|site| add_hosts(&site.hosts)),
+        _ => {}
+    }
+    xxh3_64(&bytes)
+}
--- a/crates/decisions/src/control_role/messages.rs
+++ b/crates/decisions/src/control_role/messages.rs
@@ -5,6 +5,7 @@
 use crate::{
     agreement::AgreementMessage,
     clock::Moment,
+    entry_role::DataCentreHosts,
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
     primaries::ServiceTerm,
@@ -83,8 +84,11 @@
     },
     /// Control hosts that the sender knows.
     Hosts(Vec<HostId>),
-    /// Entry hosts that may be gateways of databases.
+    /// Entry hosts that may be gateways of databases, to an entry host that did not
+    /// name its data centre.
     EntryHosts(Vec<HostId>),
+    /// Entry hosts that may be gateways of databases, by data centre.
+    GatewayHosts(Vec<DataCentreHosts>),
     /// Databases that announced themselves.
     Announced(Vec<InstanceRecord>),
     /// Databases that announced their departure.
@@ -119,6 +123,9 @@
         role: LinkRole,
         /// Number of that host.
         host: HostId,
+        /// Data centre of an entry host; builds before 0.2 do not send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        data_centre: Option<Arc<str>>,
     },
     /// Message between control hosts.
     Control(Box<ControlMessage>),
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use super::{LoadTable, SampledPositions};
+use super::{DatabasePath, GatewayMap, LoadTable, SampledPositions};
 use crate::{
     clock::Moment,
     identity::HostId,
@@ -13,7 +13,6 @@
     positions::LogPosition,
     primaries::ServiceTerm,
     routes::{RouteKind, RouteRule, RouteTable},
-    sessions::rank_hosts,
 };
 
 /// Subtracted from the maximum age of a read, for the time that the read takes to
@@ -26,27 +25,16 @@
 const PRIMARY_COST_FACTOR: f64 = 1.5;
 /// Cost factor of a read in another data centre.
 const REMOTE_COST_FACTOR: f64 = 1.25;
+/// Replicas whose costs differ by less than this factor take turns: costs are known
+/// from few statements only, and hosts that all prefer the same replica overload it.
+const SIMILAR_COST_FACTOR: f64 = 1.2;
 
-/// Connections that a database must have for each gateway: enough for a few open
-/// transactions besides the statements that run.
-const CONNECTIONS_PER_GATEWAY: u32 = 3;
-/// Most gateways of one database. Each connection costs the database a handshake,
-/// and fewer hosts use the same number of connections better.
-const MAX_GATEWAYS: u32 = 8;
-/// Most hosts that connect to one database directly. Up to twice as many handshakes
-/// as with gateways cost less than forwarding through a second host.
-const MAX_DIRECT_HOSTS: u32 = 2 * MAX_GATEWAYS;
-
-/// How a host reaches a database.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DatabasePath {
-    /// Over its own connections, at most about `connections` of them.
-    Direct {
-        /// The host's equal share.
-        connections: u32,
-    },
-    /// Through one of these gateways, in order of preference.
-    Gateways(Vec<HostId>),
+/// What the path to a service depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PathInputs {
+    gateways_version: u64,
+    entry_hosts: u32,
+    connections: u32,
 }
 
 /// Whether this host may use a service's primary.
@@ -108,7 +96,9 @@
     lease: HeldLease,
     applied: u64,
     entry_hosts: u32,
-    gateway_candidates: Vec<HostId>,
+    gateways: GatewayMap,
+    /// Number of lists of gateways received so far.
+    gateways_version: u64,
     /// Load and health of the databases, as observed by this host.
     pub loads: LoadTable,
 }
@@ -127,7 +117,8 @@
             lease: HeldLease::default(),
             applied: 0,
             entry_hosts: 1,
-            gateway_candidates: Vec::new(),
+            gateways: GatewayMap::default(),
+            gateways_version: 0,
             loads: LoadTable::default(),
         }
     }
@@ -176,33 +167,30 @@
     }
 
     /// Sets the hosts among which the gateways are chosen.
-    pub fn set_entry_hosts(&mut self, hosts: Vec<HostId>) {
-        self.gateway_candidates = hosts;
+    pub fn set_gateways(&mut self, gateways: GatewayMap) {
+        self.gateways = gateways;
+        self.gateways_version += 1;
     }
 
-    /// How host `me` reaches the database with id `instance`, to which all hosts
-    /// together may open `connections` connections.
-    ///
-    /// If there are too few connections to give every host as many as a gateway
-    /// needs, or more hosts than a database should accept handshakes from, some
-    /// hosts become the database's gateways: only they connect to it, and the
-    /// others send their statements through them.
-    pub fn path_to(&self, me: HostId, instance: &str, connections: u32) -> DatabasePath {
-        let hosts = self.entry_hosts;
-        let all_direct =
-            connections >= CONNECTIONS_PER_GATEWAY * hosts && hosts <= MAX_DIRECT_HOSTS;
-        if all_direct || self.gateway_candidates.is_empty() {
-            return DatabasePath::Direct { connections: connections / hosts };
-        }
-        let count = (connections / CONNECTIONS_PER_GATEWAY).clamp(1, MAX_GATEWAYS);
-        let mut ranked = rank_hosts(instance.as_bytes(), self.gateway_candidates.iter().copied());
-        ranked.truncate(count as usize);
-        if ranked.contains(&me) {
-            return DatabasePath::Direct { connections: connections / count };
+    /// What [`Self::path_to`] depends on besides the host and the service: a path is
+    /// valid as long as this is the same.
+    pub fn path_inputs(&self, connections: u32) -> PathInputs {
+        PathInputs {
+            gateways_version: self.gateways_version,
+            entry_hosts: self.entry_hosts,
+            connections,
         }
-        // Each host has its own order, so that the gateways share the load.
-        let key = [instance.as_bytes(), &me.0.to_be_bytes()].concat();
-        DatabasePath::Gateways(rank_hosts(&key, ranked))
+    }
+
+    /// How host `me` reaches the databases of a service, to each of which all hosts
+    /// together may open `connections` connections.
+    pub fn path_to(&self, me: HostId, service: &str, connections: u32) -> DatabasePath {
+        self.gateways.path_to(me, &self.data_centre, service, self.entry_hosts, connections)
+    }
+
+    /// True if reads may be sent to a gateway that chooses the database.
+    pub fn gateways_choose_databases(&self) -> bool {
+        self.gateways.gateways_choose_databases()
     }
 
     /// Records announcements of databases.
@@ -279,6 +267,13 @@
         self.directory.get(id)
     }
 
+    /// Number of the service's term if this database is its primary and the term
+    /// steady, whether or not this host has a lease.
+    pub fn term_led_by(&self, service: &str, key: &InstanceKey) -> Option<u64> {
+        let term = self.terms.get(service).filter(|term| term.is_steady())?;
+        (term.primary == *key).then_some(term.number)
+    }
+
     /// Whether the service's primary may be used now.
     pub fn primary(&self, now: Moment, service: &str) -> PrimaryAvailability {
         if !self.has_lease(now) {
@@ -353,7 +348,9 @@
         }
     }
 
-    /// The database with the lowest cost for a read, except those already tried.
+    /// The database with the lowest cost for a read, except those already tried. Of
+    /// replicas with a similar cost it is the one that this host has not used for
+    /// longest.
     pub fn read_target(
         &self,
         now: Moment,
@@ -373,14 +370,21 @@
             .instances_of_service(service)
             .filter(|record| !record.draining && !tried.contains(&record.key))
             .filter(|record| primary.as_ref().is_none_or(|primary| primary.key != record.key));
-        let best = replicas
+        let eligible: Vec<(f64, u64, &InstanceRecord)> = replicas
             .filter_map(|record| {
                 let load = self.loads.get(&record.key);
                 let is_eligible =
                     load.is_usable(now) && load.may_hold(now, position, likely_replicated);
-                is_eligible.then(|| (self.cost(record, load.expected_ms(now)), record))
+                let cost = || self.cost(record, load.expected_ms(now));
+                is_eligible.then(|| (cost(), load.last_use, record))
             })
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+            .collect();
+        let lowest = eligible.iter().map(|(cost, ..)| *cost).min_by(f64::total_cmp);
+        let best = eligible
+            .into_iter()
+            .filter(|(cost, ..)| lowest.is_some_and(|lowest| *cost <= SIMILAR_COST_FACTOR * lowest))
+            .min_by_key(|(_, last_use, _)| *last_use)
+            .map(|(cost, _, record)| (cost, record));
         let primary_cost = primary.filter(|record| !tried.contains(&record.key)).map(|record| {
             let load = self.loads.get(&record.key);
             PRIMARY_COST_FACTOR * self.cost(&record, load.expected_ms(now))
--- a/crates/decisions/src/entry_role/instance_load.rs
+++ b/crates/decisions/src/entry_role/instance_load.rs
@@ -4,8 +4,9 @@
 
 /// Weight of the newest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
-/// Latency assumed before the first answer, in milliseconds.
-const INITIAL_LATENCY_MS: f64 = 10.0;
+/// Latency assumed before the first answer, in milliseconds: lower than that of almost
+/// all databases, so that a replica that was never read gets a first read.
+const INITIAL_LATENCY_MS: f64 = 0.1;
 /// Time for which a database is avoided after the first failure to reach it;
 /// doubled with each further failure.
 const INITIAL_AVOIDANCE: Duration = Duration::from_millis(200);
@@ -38,6 +39,8 @@
     missing: Option<(LogPosition, Moment)>,
     /// Newest position seen in its answers.
     pub position: Option<LogPosition>,
+    /// Order of its last use among all uses of databases by this host.
+    pub last_use: u64,
 }
 
 impl Default for InstanceLoad {
@@ -50,6 +53,7 @@
             avoid_until: Moment::ZERO,
             missing: None,
             position: None,
+            last_use: 0,
         }
     }
 }
@@ -93,6 +97,7 @@
 #[derive(Debug, Default)]
 pub struct LoadTable {
     loads: BTreeMap<InstanceKey, InstanceLoad>,
+    uses: u64,
 }
 
 impl LoadTable {
@@ -103,7 +108,10 @@
 
     /// Records that a statement was sent.
     pub fn record_start(&mut self, key: &InstanceKey) {
-        self.loads.entry(key.clone()).or_default().outstanding += 1;
+        self.uses += 1;
+        let load = self.loads.entry(key.clone()).or_default();
+        load.outstanding += 1;
+        load.last_use = self.uses;
     }
 
     /// Records that a statement ended; `latency` is set if it was answered.
--- a/crates/decisions/src/entry_role/mod.rs
+++ b/crates/decisions/src/entry_role/mod.rs
@@ -4,6 +4,7 @@
 mod connection_state;
 mod entry_view;
 mod gateway_load;
+mod gateway_map;
 mod inflight_window;
 mod instance_load;
 mod queue_order;
@@ -12,8 +13,9 @@
 mod state_confirmations;
 
 pub use connection_state::{ConnectionState, RestoreStep};
-pub use entry_view::{DatabasePath, EntryView, PrimaryAvailability, ReadRequirement, ReadTarget};
+pub use entry_view::{EntryView, PathInputs, PrimaryAvailability, ReadRequirement, ReadTarget};
 pub use gateway_load::{GatewayLoad, choose_gateway};
+pub use gateway_map::{DataCentreHosts, DatabasePath, GatewayMap};
 pub use inflight_window::InflightWindow;
 pub use instance_load::{InstanceLoad, LoadTable};
 pub use queue_order::{QueuedStatement, next_in_queue};
--- a/crates/decisions/src/routes/route_rule.rs
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -20,6 +20,14 @@
 }
 
 impl RouteKind {
+    /// Maximum age of the data that reads see; `None` if they see every commit.
+    pub const fn max_age(self) -> Option<Duration> {
+        match self {
+            Self::Primary => None,
+            Self::BoundedStaleness { max_age } | Self::ReadYourWrites { max_age } => Some(max_age),
+        }
+    }
+
     /// The kind's name in logs and metrics.
     pub const fn name(self) -> &'static str {
         match self {
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -32,7 +32,7 @@
     world.announce(leader, &instance("c", 3, InstanceRole::Replica));
     world.run(SECOND / 10);
     for entry in entries {
-        world.handle_event(leader, ControlEvent::EntryLinked(*entry));
+        world.handle_event(leader, ControlEvent::EntryLinked(*entry, None));
     }
     for _ in 0..4 {
         for entry in entries {
@@ -376,7 +376,7 @@
     world.updates.clear();
     for id in [1, 2, 3] {
         world.boot(HostId(id), false);
-        world.handle_event(HostId(id), ControlEvent::EntryLinked(FIRST_ENTRY));
+        world.handle_event(HostId(id), ControlEvent::EntryLinked(FIRST_ENTRY, None));
     }
     world.run(2 * SECOND);
     let leader = world.leader().expect("a leader");
--- a/crates/decisions/tests/primary_schedules.rs
+++ b/crates/decisions/tests/primary_schedules.rs
@@ -230,7 +230,7 @@
             self.boots.remove(&host);
             self.world.boot(host, false);
             for entry in ENTRIES {
-                self.world.handle_event(host, ControlEvent::EntryLinked(entry));
+                self.world.handle_event(host, ControlEvent::EntryLinked(entry, None));
             }
         }
         self.advance_databases();
@@ -318,7 +318,7 @@
         let mut run = ScheduleRun::new(seed);
         for entry in ENTRIES {
             for host in [1, 2, 3] {
-                run.world.handle_event(HostId(host), ControlEvent::EntryLinked(entry));
+                run.world.handle_event(HostId(host), ControlEvent::EntryLinked(entry, None));
             }
         }
         for _ in 0..STEPS {
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -5,7 +5,9 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry_role::{DatabasePath, EntryView, ReadRequirement, ReadTarget, SampledPositions},
+    entry_role::{
+        DatabasePath, EntryView, GatewayMap, ReadRequirement, ReadTarget, SampledPositions,
+    },
     identity::HostId,
     instances::{InstanceKey, InstanceRecord, InstanceRole},
     positions::LogPosition,
@@ -116,6 +118,51 @@
     assert!(is_replica(&target(&view, NOW, OLD, own)));
 }
 
+/// Guards against replicas that are never read where the primary answers faster than
+/// an unknown database was assumed to.
+#[test]
+fn unread_replica_is_tried_before_a_fast_primary() {
+    let mut view = view(NOW);
+    let primary = record("p", InstanceRole::Primary, 1).key;
+    for _ in 0..50 {
+        view.loads.record_finish(&primary, Some(Duration::from_millis(1)));
+    }
+    assert!(is_replica(&target(&view, NOW, YOUNG, None)));
+}
+
+/// Load pattern: many hosts that each know little of a service. Guards against all of
+/// them choosing the same of two equal replicas.
+#[test]
+fn equal_replicas_take_turns() {
+    let mut view = view(NOW);
+    view.record_announcements(NOW, &[record("s", InstanceRole::Replica, 3)]);
+    let primary = record("p", InstanceRole::Primary, 1).key;
+    for _ in 0..50 {
+        view.loads.record_finish(&primary, Some(Duration::from_millis(10)));
+    }
+    let mut reads: BTreeMap<InstanceKey, u32> = BTreeMap::new();
+    for _ in 0..100 {
+        let ReadTarget::Replica { record, .. } = target(&view, NOW, YOUNG, None) else {
+            panic!("no replica");
+        };
+        view.loads.record_start(&record.key);
+        view.loads.record_finish(&record.key, Some(Duration::from_millis(10)));
+        *reads.entry(record.key).or_default() += 1;
+    }
+    assert_eq!(reads.into_values().collect::<Vec<_>>(), [50, 50]);
+    // A slower one gets fewer reads.
+    let slow = record("s", InstanceRole::Replica, 3).key;
+    for _ in 0..20 {
+        view.loads.record_finish(&slow, Some(Duration::from_millis(60)));
+    }
+    for _ in 0..4 {
+        let ReadTarget::Replica { record, .. } = target(&view, NOW, YOUNG, None) else {
+            panic!("no replica");
+        };
+        assert_ne!(record.key, slow);
+    }
+}
+
 #[test]
 fn primary_routes_use_only_the_primary() {
     let view = view(NOW);
@@ -147,7 +194,7 @@
 fn view_with_hosts(hosts: u32) -> EntryView {
     let mut view = EntryView::new(Arc::from("a"));
     view.extend_lease(Moment::ZERO, Duration::from_secs(1), 0, hosts);
-    view.set_entry_hosts((1..=hosts).map(HostId).collect());
+    view.set_gateways(GatewayMap::without_places((1..=hosts).map(HostId).collect()));
     view
 }
 
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -350,6 +350,7 @@
         json!({ "State": { "index": 12, "routes": packed_routes(), "terms": terms } }),
         json!({ "Hosts": [1, 2] }),
         json!({ "EntryHosts": [4, 5] }),
+        json!({ "GatewayHosts": [{ "data_centre": "a", "hosts": [4, 5] }] }),
         json!({ "Announced": [instance_record()] }),
         json!({ "Departed": [departure()] }),
         json!({ "Expired": [departure()] }),
@@ -412,6 +413,7 @@
         "link_frames",
         all_variants::<LinkFrame>(&[
             json!({ "Hello": { "role": "Entry", "host": 4 } }),
+            json!({ "Hello": { "role": "Entry", "host": 4, "data_centre": "a" } }),
             json!({ "Control": messages[1] }),
             json!({ "Report": entry_reports()[1] }),
             json!({ "Update": entry_updates()[1] }),
