Refuse at once on hosts that are cut off from control

Cause: a host whose lease had expired held every statement for its whole timeout, also while no control host answered it.

Change: EntryView knows when a control host was last heard. Without a lease and after 1.2 s of silence the primary is CutOff: statements that need it are refused, and reads are not sent to gateways. Hosts that control answers, and hosts that have just started, wait as before.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -435,6 +435,7 @@
     let hint = match error {
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
+        AssignError::CutOff => "this host is cut off from control; try again at once elsewhere",
         AssignError::ServiceEmpty => "the service has no database; try again in 1 s",
     };
     CallerReply::Refused(CallerRefusal::NotRun, hint)
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -133,6 +133,8 @@
                 }
             }
             LinkEvent::Update(host, update) => {
+                let shared = &self.shared;
+                shared.view.borrow_mut().record_control_message(shared.now());
                 if let Some(link) = self.links.get_mut(&host) {
                     link.last_received_at = Instant::now();
                 }
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -104,6 +104,8 @@
     NoPrimary,
     /// The service has no database that is or could become its primary.
     ServiceEmpty,
+    /// This host is cut off from the control hosts; another one may serve the statement.
+    CutOff,
 }
 
 /// Where a statement was tried in vain.
@@ -201,9 +203,9 @@
             DatabaseChoice::Use(record, term_number, after) => {
                 (shared.pool(&record), term_number, after)
             }
-            DatabaseChoice::Refuse => {
+            DatabaseChoice::Refuse(error) => {
                 record_wait_for_primary(shared, now, service, trace);
-                return Err(AssignError::ServiceEmpty);
+                return Err(error);
             }
             DatabaseChoice::Wait => {
                 record_wait_for_primary(shared, now, service, trace);
@@ -330,8 +332,8 @@
     Gateway(Rc<DatabasePool>),
     /// Nowhere until the primary is replaced or the lease renewed.
     Wait,
-    /// Nowhere until another database joins the service.
-    Refuse,
+    /// Not here, or nowhere until another database joins the service.
+    Refuse(AssignError),
 }
 
 fn choose_upstream(
@@ -342,7 +344,10 @@
 ) -> DatabaseChoice {
     let service = &limits.route.service;
     let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
+    // A host that is cut off may be so from the gateways too; callers find another host
+    // sooner than it finds a gateway.
     if !needs_primary
+        && !shared.view.borrow().is_cut_off(now)
         && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
         && let Some(pool) = shared.service_pool(service)
     {
@@ -362,7 +367,8 @@
             DatabaseChoice::Use(record, Some(term_number), None)
         }
         PrimaryAvailability::Unavailable => DatabaseChoice::Wait,
-        PrimaryAvailability::Missing => DatabaseChoice::Refuse,
+        PrimaryAvailability::CutOff => DatabaseChoice::Refuse(AssignError::CutOff),
+        PrimaryAvailability::Missing => DatabaseChoice::Refuse(AssignError::ServiceEmpty),
     }
 }
 
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -29,6 +29,10 @@
 /// from few statements only, and hosts that all prefer the same replica overload it.
 const SIMILAR_COST_FACTOR: f64 = 1.2;
 
+/// Silence of all control hosts after which a host without a lease counts as cut off
+/// from them. While it has no lease, it asks each of them twice a second.
+const CONTROL_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// What the path to a service depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PathInputs {
@@ -49,6 +53,9 @@
     },
     /// Not now: there is no lease, or the primary is being replaced.
     Unavailable,
+    /// Not here: the lease has expired and no control host answers. Waiting does not help,
+    /// while another host may have a lease.
+    CutOff,
     /// Not before another database joins: the primary is unknown or may not be used any
     /// more, and no database is known that could replace it.
     Missing,
@@ -94,6 +101,8 @@
     surrendered_terms: BTreeMap<Arc<str>, u64>,
     sampled_positions: BTreeMap<Arc<str>, SampledPositions>,
     lease: HeldLease,
+    /// Time of the last message from any control host.
+    control_heard_at: Option<Moment>,
     applied: u64,
     entry_hosts: u32,
     gateways: GatewayMap,
@@ -115,6 +124,7 @@
             surrendered_terms: BTreeMap::new(),
             sampled_positions: BTreeMap::new(),
             lease: HeldLease::default(),
+            control_heard_at: None,
             applied: 0,
             entry_hosts: 1,
             gateways: GatewayMap::default(),
@@ -166,6 +176,18 @@
         self.entry_hosts = entry_hosts.max(1);
     }
 
+    /// Records that a control host sent a message.
+    pub fn record_control_message(&mut self, now: Moment) {
+        self.control_heard_at = Some(now);
+    }
+
+    /// True if the lease has expired and no control host has sent anything for a while.
+    /// A host that has just started and has heard none yet is not cut off.
+    pub fn is_cut_off(&self, now: Moment) -> bool {
+        !self.has_lease(now)
+            && self.control_heard_at.is_some_and(|at| now.since(at) > CONTROL_SILENCE)
+    }
+
     /// Sets the hosts among which the gateways are chosen.
     pub fn set_gateways(&mut self, gateways: GatewayMap) {
         self.gateways = gateways;
@@ -277,7 +299,10 @@
     /// Whether the service's primary may be used now.
     pub fn primary(&self, now: Moment, service: &str) -> PrimaryAvailability {
         if !self.has_lease(now) {
-            return PrimaryAvailability::Unavailable;
+            return match self.is_cut_off(now) {
+                true => PrimaryAvailability::CutOff,
+                false => PrimaryAvailability::Unavailable,
+            };
         }
         let term = self.terms.get(service);
         if let Some(term) = term.filter(|term| term.is_steady())
@@ -363,7 +388,9 @@
         };
         let primary = match self.primary(now, service) {
             PrimaryAvailability::Usable { record, .. } => Some(record),
-            PrimaryAvailability::Unavailable | PrimaryAvailability::Missing => None,
+            PrimaryAvailability::Unavailable
+            | PrimaryAvailability::CutOff
+            | PrimaryAvailability::Missing => None,
         };
         let replicas = self
             .directory
