Send forwarded reads to no further gateway that chooses

Cause, found by reading: a gateway that was no gateway in its own view passed a forwarded read on to one that was. Two hosts with different lists of hosts could pass it back and forth until its time was over. A write inside a read-only transaction closed the connection to the gateway, which its sender then avoided for a second.

Change: forwarded reads are sent to a database, directly or through the gateway of that one database, which goes no further. In a transaction the database refuses the write itself.

The exchange of two hosts with different lists was not reproduced.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -274,6 +274,7 @@
             needs_primary: writes,
             may_reroute: !writes && route.kind != RouteKind::Primary,
             writes,
+            forwarded: self.forwarded_route.is_some(),
             last_commit: self.state.last_commit,
         };
         let mut tried = TriedUpstreams::default();
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -72,11 +72,10 @@
         after: Option<LogPosition>,
         statement: &CallerStatement,
     ) -> io::Result<CallerReply> {
-        let reads = match statement.action {
-            StatementAction::Begin { .. } | StatementAction::Write => false,
-            _ => !self.session.is_write(statement),
-        };
-        if !reads || self.session.forwarded_route.is_none() {
+        let begins = matches!(statement.action, StatementAction::Begin { .. });
+        // In a transaction, which only reads, the database refuses a write itself.
+        let writes = self.is_idle() && self.session.is_write(statement);
+        if begins || writes || self.session.forwarded_route.is_none() {
             return Err(io::ErrorKind::InvalidData.into());
         }
         if self.is_idle() {
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -142,6 +142,9 @@
     /// The database may be chosen again while the statement waits for a connection.
     pub(super) may_reroute: bool,
     pub(super) writes: bool,
+    /// Another host forwarded the statement. It is not sent to a gateway that chooses
+    /// the database: hosts with different lists of hosts could pass it on for ever.
+    pub(super) forwarded: bool,
     pub(super) last_commit: Option<LogPosition>,
 }
 
@@ -347,6 +350,7 @@
     // A host that is cut off may be so from the gateways too; callers find another host
     // sooner than it finds a gateway.
     if !needs_primary
+        && !limits.forwarded
         && !shared.view.borrow().is_cut_off(now)
         && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
         && let Some(pool) = shared.service_pool(service)
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -86,6 +86,7 @@
             needs_primary: !read_only,
             may_reroute: read_only && route.kind != RouteKind::Primary,
             writes: !read_only,
+            forwarded: self.forwarded_route.is_some(),
             last_commit: self.state.last_commit,
         };
         let mut tried = TriedUpstreams::default();
