Give later statements of a forwarded read-only transaction their route's time

Cause, found by reading: a gateway ended each statement of a read-only transaction after the time that was left for its BEGIN, 60 % of the route's timeout, and the caller was told that the transaction was aborted. Change: after BEGIN the gateway's own limit is that of other forwarded statements; the forwarding host keeps the route's.

--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -30,7 +30,7 @@
 const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a forwarded statement at the database; the forwarding host usually
 /// ends it sooner, by the timeout of its route.
-const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that sent data may stay unacknowledged before the connection of another
 /// host counts as lost.
 const FORWARD_ACK_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -10,6 +10,7 @@
 use super::{
     caller_session::{CallerReply, CallerSession},
     entry_shared::EntryShared,
+    forward_task::FORWARD_TIMEOUT,
 };
 use crate::edges::{
     CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, StatementAction,
@@ -55,7 +56,12 @@
                 self.session.state.last_commit = after;
                 let route = self.session.forwarded_route.clone();
                 let route = route.ok_or(io::ErrorKind::InvalidData)?;
-                self.session.begin_forwarded_read(&route).await
+                let reply = self.session.begin_forwarded_read(&route).await;
+                // The time left was that of the first statement; the other host ends
+                // the later ones by the timeout of its route.
+                let route = RouteRule { timeout: FORWARD_TIMEOUT, ..(*route).clone() };
+                self.session.forwarded_route = Some(Arc::new(route));
+                reply
             }
             ForwardedCommand::Statement { after, statement } => {
                 self.run_statement(after, &statement).await?
