--- a/crates/decisions/src/control_role/messages.rs
+++ b/crates/decisions/src/control_role/messages.rs
@@ -123,7 +123,7 @@
         role: LinkRole,
         /// Number of that host.
         host: HostId,
-        /// Data centre of an entry host; builds before 0.2 do not send it.
+        /// Data centre of an entry host; older builds do not send it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         data_centre: Option<Arc<str>>,
     },
