--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -347,11 +347,8 @@
 ) -> DatabaseChoice {
     let service = &limits.route.service;
     let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
-    // A host that is cut off may be so from the gateways too; callers find another host
-    // sooner than it finds a gateway.
     if !needs_primary
         && !limits.forwarded
-        && !shared.view.borrow().is_cut_off(now)
         && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
         && let Some(pool) = shared.service_pool(service)
     {
