Look up a service's declaration in one place

Change: EntryView::service_rule; the path to a service, the pruning of paths and pools and the check of a forwarded connection call it. No behaviour changes.

--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -222,8 +222,7 @@
     /// statement would take longer than all else that a small host does for it.
     fn path_to(&self, service: &Arc<str>) -> Rc<DatabasePath> {
         let view = self.view.borrow();
-        let rule = view.routes().and_then(|table| table.service(service));
-        let limit = rule.map_or(1, |rule| rule.max_connections).max(1);
+        let limit = view.service_rule(service).map_or(1, |rule| rule.max_connections).max(1);
         let connections = limit.saturating_sub(RESERVED_CONNECTIONS).max(1);
         let inputs = view.path_inputs(connections);
         let mut paths = self.paths.borrow_mut();
@@ -243,9 +242,7 @@
         let pools: Vec<Rc<DatabasePool>> = self.pools.borrow().values().cloned().collect();
         self.decay_gateway_loads();
         let view = self.view.borrow();
-        let is_configured =
-            |service: &str| view.routes().is_some_and(|table| table.service(service).is_some());
-        self.paths.borrow_mut().retain(|service, _| is_configured(service));
+        self.paths.borrow_mut().retain(|service, _| view.service_rule(service).is_some());
         drop(view);
         for pool in pools {
             let gone = !is_known(&self.view.borrow(), &pool.target().key());
@@ -312,9 +309,7 @@
 fn is_known(view: &EntryView, target: &TargetKey) -> bool {
     match target {
         TargetKey::Database(key) => view.instance(key).is_some(),
-        TargetKey::Service(service) => {
-            view.routes().is_some_and(|table| table.service(service).is_some())
-        }
+        TargetKey::Service(service) => view.service_rule(service).is_some(),
     }
 }
 
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -96,7 +96,7 @@
     };
     let view = shared.view.borrow();
     let Some(instance) = instance else {
-        view.routes().and_then(|table| table.service(&service))?;
+        view.service_rule(&service)?;
         return Some(Forward::Reads(Box::new(ForwardedReads::new(shared, service))));
     };
     let record = view.instance_by_id(&instance).filter(|record| record.service == service)?;
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -12,7 +12,7 @@
     leases::HeldLease,
     positions::LogPosition,
     primaries::ServiceTerm,
-    routes::{RouteKind, RouteRule, RouteTable},
+    routes::{RouteKind, RouteRule, RouteTable, ServiceRule},
 };
 
 /// Subtracted from the maximum age of a read, for the time that the read takes to
@@ -254,6 +254,11 @@
         self.routes.as_ref()
     }
 
+    /// The declaration of a service in the configuration in force.
+    pub fn service_rule(&self, service: &str) -> Option<&ServiceRule> {
+        self.routes.as_ref()?.service(service)
+    }
+
     /// The route of a database name.
     pub fn route(&self, database: &str) -> Option<Arc<RouteRule>> {
         self.routes_by_database.get(database).cloned()
