Move limits and choice of an upstream out of statement_run

Change: run_limits holds what a statement requires and where it was tried, upstream_choice where it may run. Code is moved, not changed, but for the name UpstreamChoice, which also covers gateways, and two if-lets for for_each over an Option.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -11,9 +11,10 @@
 use super::{
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
+    run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
-        AssignError, AssignedConnection, ROLLBACK_TIMEOUT, RunLimits, TriedUpstreams,
-        assign_connection, encode_statement, pause_before_retry, run_exchange,
+        AssignError, AssignedConnection, ROLLBACK_TIMEOUT, assign_connection, encode_statement,
+        pause_before_retry, run_exchange,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -12,9 +12,11 @@
 mod pool_target;
 mod primary_probe;
 mod request_trace;
+mod run_limits;
 mod session_task;
 mod statement_run;
 mod transaction_run;
+mod upstream_choice;
 mod upstream_link;
 
 pub use entry_host::EntryHost;
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -2,25 +2,23 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry_role::{
-        EntryView, PrimaryAvailability, QueuedStatement, ReadTarget, RestoreStep, SessionState,
-    },
-    instances::{InstanceKey, InstanceRecord},
+    entry_role::{EntryView, QueuedStatement, RestoreStep, SessionState},
+    instances::InstanceKey,
     positions::LogPosition,
-    routes::{RouteKind, RouteRule},
 };
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::{
-    database_pool::{AcquireError, DatabasePool, PooledLink},
+    database_pool::{AcquireError, PooledLink},
     entry_shared::{EntryShared, WriteGuard},
     primary_probe::probe_primary,
     request_trace::{RequestTrace, TraceStep},
+    run_limits::{RunLimits, TriedUpstreams},
+    upstream_choice::{UpstreamChoice, choose_upstream, has_time_left, is_still_usable},
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer, UpstreamLink, encode_steps},
 };
 use crate::edges::{
-    CallerStatement, ForwardUrgency, ReadTerms, SessionPhase, StatementAction, UpstreamCode,
-    UpstreamCommand,
+    CallerStatement, ForwardUrgency, SessionPhase, StatementAction, UpstreamCode, UpstreamCommand,
 };
 
 /// Time without an answer after which a primary is probed: longer than almost all
@@ -29,20 +27,11 @@
 /// Time for which a read waits for one database before it chooses again: another
 /// one may have become free or reached the required position.
 const REROUTE_INTERVAL: Duration = Duration::from_millis(40);
-/// A statement is sent only if its timeout divided by this number remains, unless
-/// its database usually answers sooner.
-const MIN_TIME_DIVISOR: u32 = 4;
 /// Pause before a database that refused a statement is tried again.
 const BUSY_RETRY_PAUSE: Duration = Duration::from_millis(8);
 /// Time for a database to roll back a transaction, after which its connection is
 /// closed.
 pub(super) const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
-/// Percentage of a read's remaining time for the first attempt; the rest is left for
-/// an attempt elsewhere.
-const FIRST_READ_PERCENT: u32 = 60;
-/// Attempts of one read at gateways that choose its database. Later ones choose it on
-/// this host, since the gateways may lack a lease or a database that this host knows.
-const MAX_GATEWAY_ATTEMPTS: u32 = 3;
 /// Pause after a failed attempt to reach a database or gateway.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -108,82 +97,6 @@
     CutOff,
 }
 
-/// Where a statement was tried in vain.
-#[derive(Debug, Default)]
-pub(super) struct TriedUpstreams {
-    /// Databases that are ruled out for further attempts.
-    pub(super) instances: Vec<InstanceKey>,
-    /// Failed attempts at gateways that choose the database.
-    pub(super) gateway_attempts: u32,
-}
-
-impl TriedUpstreams {
-    /// Rules out a database, or counts an attempt at a gateway.
-    pub(super) fn add(&mut self, instance: Option<&InstanceKey>) {
-        match instance {
-            Some(key) => self.instances.push(key.clone()),
-            None => self.gateway_attempts += 1,
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.instances.is_empty() && self.gateway_attempts == 0
-    }
-}
-
-/// Requirements and time limits of a statement.
-pub(super) struct RunLimits<'a> {
-    pub(super) route: &'a RouteRule,
-    /// When the statement arrived; for the session's first one at a database, when
-    /// the session was requested.
-    pub(super) arrived: Moment,
-    pub(super) deadline: Instant,
-    pub(super) needs_primary: bool,
-    /// The database may be chosen again while the statement waits for a connection.
-    pub(super) may_reroute: bool,
-    pub(super) writes: bool,
-    /// Another host forwarded the statement. It is not sent to a gateway that chooses
-    /// the database: hosts with different lists of hosts could pass it on for ever.
-    pub(super) forwarded: bool,
-    pub(super) last_commit: Option<LogPosition>,
-}
-
-impl RunLimits<'_> {
-    /// Time at which waiting for a connection ends. A statement that has waited
-    /// for half of its timeout keeps being overtaken by newer ones; failing it now
-    /// leaves its caller time for another attempt.
-    fn connect_deadline(&self) -> Instant {
-        self.deadline - self.route.timeout / 2
-    }
-
-    /// Deadline of one attempt; the first attempt of a read leaves time for a second.
-    pub(super) fn attempt_deadline(&self, tried: &TriedUpstreams) -> Instant {
-        if self.writes || !tried.is_empty() {
-            return self.deadline;
-        }
-        let now = Instant::now();
-        now + self.deadline.saturating_duration_since(now) * FIRST_READ_PERCENT / 100
-    }
-
-    /// What a gateway is told; `read` if it chooses the database.
-    fn urgency(&self, now: Moment, read: Option<ReadTerms>) -> ForwardUrgency {
-        ForwardUrgency {
-            priority: self.route.priority,
-            objective: self.route.objective,
-            waited: now.since(self.arrived),
-            read,
-        }
-    }
-
-    /// Terms of a read for a gateway that chooses the database; `None` if the primary
-    /// must run the statement.
-    fn read_terms(&self, tried: &TriedUpstreams) -> Option<ReadTerms> {
-        let max_age = self.route.kind.max_age().filter(|_| !self.needs_primary)?;
-        let time_left = self.attempt_deadline(tried).saturating_duration_since(Instant::now());
-        Some(ReadTerms { max_age, time_left })
-    }
-}
-
 /// Chooses a database that may run the statement, or a gateway that chooses it, and
 /// acquires a connection. What is ruled out for further attempts is added to `tried`.
 pub(super) async fn assign_connection(
@@ -202,15 +115,15 @@
         let now = shared.now();
         let changed = shared.changed.notified();
         let (pool, term_number, after) = match choose_upstream(shared, now, limits, tried) {
-            DatabaseChoice::Gateway(pool) => (pool, None, limits.last_commit),
-            DatabaseChoice::Use(record, term_number, after) => {
+            UpstreamChoice::Gateway(pool) => (pool, None, limits.last_commit),
+            UpstreamChoice::Use(record, term_number, after) => {
                 (shared.pool(&record), term_number, after)
             }
-            DatabaseChoice::Refuse(error) => {
+            UpstreamChoice::Refuse(error) => {
                 record_wait_for_primary(shared, now, service, trace);
                 return Err(error);
             }
-            DatabaseChoice::Wait => {
+            UpstreamChoice::Wait => {
                 record_wait_for_primary(shared, now, service, trace);
                 if timeout_at(limits.deadline, changed).await.is_err() {
                     return Err(AssignError::NoPrimary);
@@ -237,12 +150,13 @@
             true => connect_deadline.min(Instant::now() + REROUTE_INTERVAL),
             false => connect_deadline,
         };
-        let load_key = instance.as_ref();
-        load_key.into_iter().for_each(|key| shared.view.borrow_mut().loads.record_start(key));
+        if let Some(key) = &instance {
+            shared.view.borrow_mut().loads.record_start(key);
+        }
         let acquired = pool.acquire(shared, statement, until).await;
-        load_key
-            .into_iter()
-            .for_each(|key| shared.view.borrow_mut().loads.record_finish(key, None));
+        if let Some(key) = &instance {
+            shared.view.borrow_mut().loads.record_finish(key, None);
+        }
         let (at, got) = (shared.now(), acquired.is_ok());
         trace.record(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
@@ -326,71 +240,6 @@
     trace.record(now, TraceStep::WaitedForPrimary { has_lease: view.has_lease(now), term });
 }
 
-/// Where a statement may run.
-enum DatabaseChoice {
-    /// At this database: in this term if it is the primary, else once it has applied
-    /// the position.
-    Use(InstanceRecord, Option<u64>, Option<LogPosition>),
-    /// Where the gateway of this pool decides.
-    Gateway(Rc<DatabasePool>),
-    /// Nowhere until the primary is replaced or the lease renewed.
-    Wait,
-    /// Not here, or nowhere until another database joins the service.
-    Refuse(AssignError),
-}
-
-fn choose_upstream(
-    shared: &EntryShared,
-    now: Moment,
-    limits: &RunLimits<'_>,
-    tried: &TriedUpstreams,
-) -> DatabaseChoice {
-    let service = &limits.route.service;
-    let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
-    if !needs_primary
-        && !limits.forwarded
-        && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
-        && let Some(pool) = shared.service_pool(service)
-    {
-        return DatabaseChoice::Gateway(pool);
-    }
-    let view = shared.view.borrow();
-    if !needs_primary {
-        let requirement = view.read_requirement(now, limits.route, limits.last_commit);
-        if let ReadTarget::Replica { record, position } =
-            view.read_target(now, service, requirement, &tried.instances)
-        {
-            return DatabaseChoice::Use(record, None, Some(position));
-        }
-    }
-    match view.primary(now, service) {
-        PrimaryAvailability::Usable { record, number: term_number } => {
-            DatabaseChoice::Use(record, Some(term_number), None)
-        }
-        PrimaryAvailability::Unavailable => DatabaseChoice::Wait,
-        PrimaryAvailability::CutOff => DatabaseChoice::Refuse(AssignError::CutOff),
-        PrimaryAvailability::Missing => DatabaseChoice::Refuse(AssignError::ServiceEmpty),
-    }
-}
-
-/// True if the database will probably answer in time. A statement that is sent with
-/// too little time left for an answer can only end with an unknown outcome.
-fn has_time_left(shared: &EntryShared, limits: &RunLimits<'_>, key: Option<&InstanceKey>) -> bool {
-    let left = limits.deadline.saturating_duration_since(Instant::now());
-    let load = key.map(|key| shared.view.borrow().loads.get(key)).unwrap_or_default();
-    let usual = load.usual_latency();
-    left >= usual.min(limits.route.timeout / MIN_TIME_DIVISOR)
-}
-
-/// True for replicas, and for a primary whose term is still the usable one.
-fn is_still_usable(shared: &EntryShared, service: &str, term_number: Option<u64>) -> bool {
-    let Some(term_number) = term_number else {
-        return true;
-    };
-    let usable = shared.view.borrow().primary(shared.now(), service);
-    matches!(usable, PrimaryAvailability::Usable { number: current, .. } if current == term_number)
-}
-
 /// Records that a database closed the connection, did not answer or could not be
 /// reached, and probes it if it is the primary of a term.
 pub(super) fn record_failure(
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -8,9 +8,10 @@
 use super::{
     caller_session::{CallerReply, CallerSession, RetryDecision, refuse_unassigned, retry_reason},
     request_trace::{RequestTrace, TraceStep},
+    run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
-        AssignedConnection, RunLimits, TriedUpstreams, assign_connection, encode_begin,
-        encode_statement, pause_before_retry, run_exchange, spawn_rollback,
+        AssignedConnection, assign_connection, encode_begin, encode_statement, pause_before_retry,
+        run_exchange, spawn_rollback,
     },
     upstream_link::{AnswerEnd, UpstreamAnswer},
 };
