Look up each holder once when its leader lists gateways

Cause: at each renewal of each entry host the leader looked up every holder twice, once whether it stops and once for its data centre. Change: gateway_candidates hands on what it has looked up. The lists are the same. Not measured: what it saves at 295 hosts. The list is still built anew for every renewal.

--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -114,7 +114,10 @@
             self.entry_hosts.get(&host).is_some_and(|entry| entry.data_centre.is_some());
         let update = match by_data_centre {
             true => EntryUpdate::GatewayHosts(self.gateways_by_data_centre()),
-            false => EntryUpdate::EntryHosts(self.gateway_candidates().collect()),
+            false => {
+                let hosts = self.gateway_candidates().map(|(host, _)| host);
+                EntryUpdate::EntryHosts(hosts.collect())
+            }
         };
         let hash = hash_of_hosts(&update);
         let Some(entry) =
@@ -126,18 +129,18 @@
         self.send_entry(host, update);
     }
 
-    /// Holders that are not about to stop.
-    fn gateway_candidates(&self) -> impl Iterator<Item = HostId> {
-        let may_be_gateway =
-            |host: &HostId| self.entry_hosts.get(host).is_none_or(|entry| !entry.leaving);
-        self.control.holders.iter().copied().filter(may_be_gateway)
+    /// Holders that are not about to stop, with what this host knows of each.
+    fn gateway_candidates(&self) -> impl Iterator<Item = (HostId, Option<&EntryProgress>)> {
+        let holders = self.control.holders.iter();
+        holders
+            .map(|host| (*host, self.entry_hosts.get(host)))
+            .filter(|(_, entry)| entry.is_none_or(|entry| !entry.leaving))
     }
 
     /// The candidates that named their data centres, by data centre.
     fn gateways_by_data_centre(&self) -> Vec<DataCentreHosts> {
         let mut sites: BTreeMap<&Arc<str>, Vec<HostId>> = BTreeMap::new();
-        for host in self.gateway_candidates() {
-            let entry = self.entry_hosts.get(&host);
+        for (host, entry) in self.gateway_candidates() {
             if let Some(data_centre) = entry.and_then(|entry| entry.data_centre.as_ref()) {
                 sites.entry(data_centre).or_default().push(host);
             }
