Share the announced database of three test files

Cause: cut_off_hosts wrote out again the record of read_targets and successor_choice. Change: tests/instance_records. No assertion changes.

--- a/crates/decisions/tests/cut_off_hosts.rs
+++ b/crates/decisions/tests/cut_off_hosts.rs
@@ -2,33 +2,25 @@
 //! the other hosts go on. Callers that are refused at once find another host in time;
 //! callers that wait do not.
 
+mod instance_records;
+
 use std::{sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     clock::Moment,
     entry_role::{EntryView, PrimaryAvailability},
-    instances::{InstanceKey, InstanceRecord, InstanceRole},
+    instances::InstanceRole,
     primaries::{ServiceTerm, TermPhase},
 };
+use instance_records::{SERVICE, record};
 
-const SERVICE: &str = "books";
 const LEASE: Duration = Duration::from_millis(3_500);
 const LAST_CONTACT: Moment = Moment::from_millis(10_000);
 
 /// A host that got its last lease at `LAST_CONTACT`.
 fn view() -> EntryView {
     let mut view = EntryView::new(Arc::from("a"));
-    let record = InstanceRecord {
-        key: InstanceKey { id: Arc::from("p"), born_ms: 1 },
-        sequence: 1,
-        service: Arc::from(SERVICE),
-        address: ([10, 0, 0, 1], 1).into(),
-        data_centre: Arc::from("a"),
-        slots: 2,
-        draining: false,
-        role: InstanceRole::Primary,
-        warm_up: Duration::ZERO,
-    };
+    let record = record("p", InstanceRole::Primary, 1);
     view.record_announcements(Moment::ZERO, std::slice::from_ref(&record));
     let term = ServiceTerm {
         service: Arc::from(SERVICE),
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -1,6 +1,8 @@
 //! Load pattern: replicas lag, and a replica that refuses a read with a small maximum
 //! age must still get reads that accept older data.
 
+mod instance_records;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
@@ -9,27 +11,12 @@
         DatabasePath, EntryView, GatewayMap, ReadRequirement, ReadTarget, SampledPositions,
     },
     identity::HostId,
-    instances::{InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceKey, InstanceRole},
     positions::LogPosition,
     primaries::{ServiceTerm, TermPhase},
     routes::{RouteKind, RouteRule},
 };
-
-const SERVICE: &str = "books";
-
-fn record(id: &str, role: InstanceRole, port: u16) -> InstanceRecord {
-    InstanceRecord {
-        key: InstanceKey { id: Arc::from(id), born_ms: 1 },
-        sequence: 1,
-        service: Arc::from(SERVICE),
-        address: ([10, 0, 0, 1], port).into(),
-        data_centre: Arc::from("a"),
-        slots: 2,
-        draining: false,
-        role,
-        warm_up: Duration::ZERO,
-    }
-}
+use instance_records::{SERVICE, record};
 
 fn route(kind: RouteKind) -> RouteRule {
     RouteRule {
--- a/crates/decisions/tests/successor_choice.rs
+++ b/crates/decisions/tests/successor_choice.rs
@@ -1,5 +1,7 @@
 //! Which database is chosen after a failure where acknowledged commits are on replicas.
 
+mod instance_records;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -15,25 +17,12 @@
         HolderView, InstanceStatus, ServiceTerm, SuccessionRules, TermChange, TermPhase, TermStep,
     },
 };
+use instance_records::record;
 
 const START: Moment = Moment::from_millis(10_000);
 const RULES: SuccessionRules =
     SuccessionRules { sync_replicas: 1, drain_limit: Some(Duration::from_secs(6)) };
 
-fn record(id: &str, port: u16, role: InstanceRole) -> InstanceRecord {
-    InstanceRecord {
-        key: InstanceKey { id: Arc::from(id), born_ms: 1 },
-        sequence: 1,
-        service: Arc::from("books"),
-        address: ([10, 0, 0, 1], port).into(),
-        data_centre: Arc::from("a"),
-        slots: 2,
-        draining: false,
-        role,
-        warm_up: Duration::ZERO,
-    }
-}
-
 /// A primary `a` with the replicas `b` and `c`, and the state of a change after `a` failed.
 struct Failover {
     directory: InstanceDirectory,
@@ -49,13 +38,13 @@
             ("b", 2, InstanceRole::Replica),
             ("c", 3, InstanceRole::Replica),
         ] {
-            directory.record_announcement(START, &record(id, port, role));
+            directory.record_announcement(START, &record(id, role, port));
         }
         let term = ServiceTerm {
             service: Arc::from("books"),
             number: 1,
             since_index: 5,
-            primary: record("a", 1, InstanceRole::Primary).key,
+            primary: record("a", InstanceRole::Primary, 1).key,
             phase: TermPhase::Fencing { planned: false },
             above_term: 0,
         };
@@ -105,7 +94,7 @@
     let draining = |sequence| InstanceRecord {
         draining: true,
         sequence,
-        ..record("c", 3, InstanceRole::Replica)
+        ..record("c", InstanceRole::Replica, 3)
     };
     failover.directory.record_announcement(START, &draining(2));
     failover.steps_after(Duration::ZERO);
@@ -119,7 +108,7 @@
 fn drained_replica_with_the_longer_log_is_chosen() {
     let mut failover = Failover::new();
     let draining =
-        InstanceRecord { draining: true, sequence: 2, ..record("c", 3, InstanceRole::Replica) };
+        InstanceRecord { draining: true, sequence: 2, ..record("c", InstanceRole::Replica, 3) };
     failover.directory.record_announcement(START, &draining);
     failover.steps_after(Duration::from_secs(8));
     failover.answer("b", 7);
