--- a/crates/daemon/src/edges/caller_protocol.rs
+++ b/crates/daemon/src/edges/caller_protocol.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hawthornstack_decisions::{entry_role::PreparedStatement, positions::LogPosition};
+use hawthornstack_decisions::{
+    entry_role::PreparedStatement, identity::CallerKey, positions::LogPosition,
+};
 use snafu::Snafu;
 
 /// What a caller's statement does.
@@ -83,6 +85,8 @@
     Connect {
         /// Name of the database.
         database: Arc<str>,
+        /// The second field, which is the caller's key where keys are needed.
+        key: Option<CallerKey>,
     },
     /// Runs a statement.
     Statement(CallerStatement),
@@ -123,6 +127,8 @@
     TimedOut,
     /// No route has the name of the database.
     UnknownDatabase,
+    /// No workspace has the caller's key.
+    UnknownKey,
     /// The message cannot be decoded, or is not allowed in the session's state.
     Malformed,
     /// The session has no prepared statement of that name.
@@ -138,6 +144,7 @@
             Self::InDoubt => "in doubt",
             Self::TimedOut => "timed out",
             Self::UnknownDatabase => "unknown database",
+            Self::UnknownKey => "unknown key",
             Self::Malformed => "malformed",
             Self::UnknownStatement => "unknown statement",
         }
--- a/crates/daemon/src/edges/upstream_protocol.rs
+++ b/crates/daemon/src/edges/upstream_protocol.rs
@@ -10,7 +10,7 @@
 
 /// How urgent a forwarded statement is, by which its gateway orders it among
 /// other statements.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardUrgency {
     /// Priority of its route; 0 is the most urgent.
     pub priority: u32,
@@ -20,6 +20,8 @@
     pub waited: Duration,
     /// Set on connections to a service, whose gateway chooses the database.
     pub read: Option<ReadTerms>,
+    /// Workspace whose connection the statement needs, if its route needs one.
+    pub workspace: Option<Arc<str>>,
 }
 
 /// What a gateway must know to choose the database for a read.
@@ -39,7 +41,8 @@
     Open {
         /// Service to which the database must belong.
         service: &'a str,
-        /// Name of the host that connects.
+        /// Workspace to which the connection belongs, or else the name of the host that
+        /// connects.
         client: &'a str,
         /// Id that the database must have; `None` at a gateway that is to choose a
         /// database of the service for each read.
@@ -93,7 +96,7 @@
     /// Asks for the database's role, term and log position.
     Status,
     /// Only to a gateway: urgency of the next statement. Not answered.
-    Urgency(ForwardUrgency),
+    Urgency(&'a ForwardUrgency),
 }
 
 /// A command that another entry host forwards for one of its callers, as the
--- /dev/null
+++ b/crates/daemon/src/entry_role/caller_admission.rs
@@ -0,0 +1,76 @@
+use std::sync::Arc;
+
+use hawthornstack_decisions::{
+    clock::Moment, entry_role::CallerAccess, identity::CallerKey, routes::RouteRule,
+};
+use tokio::time::{Instant, timeout_at};
+
+use super::{entry_shared::EntryShared, statement_run::AssignError};
+
+/// The caller of a statement, as far as its workspace is concerned.
+#[derive(Debug, Clone, Default)]
+pub(super) struct StatementCaller {
+    /// Key that the caller gave.
+    pub(super) key: Option<CallerKey>,
+    /// Workspace to which the key belongs; `None` on routes that need no key.
+    pub(super) workspace: Option<Arc<str>>,
+}
+
+/// Whether a statement that was admitted may still be sent to a database.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AdmissionCheck {
+    Valid,
+    /// This host has to renew its lease first.
+    Wait,
+    Refuse(AssignError),
+}
+
+impl StatementCaller {
+    /// Finds the workspace of the caller's key, and waits until `deadline` for a lease
+    /// that proves that the key is still valid.
+    pub(super) async fn admit(
+        &mut self,
+        shared: &EntryShared,
+        route: &RouteRule,
+        deadline: Instant,
+    ) -> Result<(), AssignError> {
+        loop {
+            let changed = shared.changed.notified();
+            self.workspace = match self.access(shared, route, shared.now()) {
+                CallerAccess::Open => None,
+                CallerAccess::Member(workspace) => Some(workspace),
+                CallerAccess::Refused => return Err(AssignError::UnknownKey),
+                CallerAccess::CutOff => return Err(AssignError::CutOff),
+                CallerAccess::Unproven => match timeout_at(deadline, changed).await {
+                    Ok(()) => continue,
+                    Err(_) => return Err(AssignError::NoLease),
+                },
+            };
+            return Ok(());
+        }
+    }
+
+    /// Checks an admitted statement again, which may have waited since.
+    pub(super) fn check(
+        &self,
+        shared: &EntryShared,
+        route: &RouteRule,
+        now: Moment,
+    ) -> AdmissionCheck {
+        match (self.access(shared, route, now), &self.workspace) {
+            (CallerAccess::Open, _) => AdmissionCheck::Valid,
+            (CallerAccess::Member(current), Some(admitted)) if current == *admitted => {
+                AdmissionCheck::Valid
+            }
+            (CallerAccess::Unproven, _) => AdmissionCheck::Wait,
+            (CallerAccess::CutOff, _) => AdmissionCheck::Refuse(AssignError::CutOff),
+            (CallerAccess::Member(_) | CallerAccess::Refused, _) => {
+                AdmissionCheck::Refuse(AssignError::UnknownKey)
+            }
+        }
+    }
+
+    fn access(&self, shared: &EntryShared, route: &RouteRule, now: Moment) -> CallerAccess {
+        shared.view.borrow().caller_access(now, route, self.key.as_ref())
+    }
+}
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Duration, Instant};
 
 use super::{
+    caller_admission::StatementCaller,
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     run_limits::{RunLimits, TriedUpstreams},
@@ -69,6 +70,10 @@
 pub(super) struct CallerSession {
     pub(super) shared: Rc<EntryShared>,
     database: Arc<str>,
+    pub(super) caller: StatementCaller,
+    /// The caller's key is no longer valid: the session ends with the reply that says
+    /// so.
+    pub(super) key_removed: bool,
     pub(super) state: SessionState,
     pub(super) pinned: Option<AssignedConnection>,
     /// True if the pinned transaction has written.
@@ -88,6 +93,8 @@
         Self {
             shared: shared.clone(),
             database,
+            caller: StatementCaller::default(),
+            key_removed: false,
             state: SessionState::default(),
             pinned: None,
             wrote: false,
@@ -227,16 +234,20 @@
         route: Option<&RouteRule>,
         trace: &mut RequestTrace,
     ) -> CallerReply {
+        let timeout = route.map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
+        let deadline = Instant::now() + timeout;
+        if let Some(route) = route
+            && let Err(error) = self.admit_caller(route, deadline).await
+        {
+            return self.refuse_caller(error);
+        }
         if let Some(connection) = self.pinned.take() {
-            let timeout = route.map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
-            let deadline = Instant::now() + timeout;
             return self.run_pinned(connection, statement, deadline, trace).await;
         }
         let Some(route) = route else {
             self.state.transaction = TransactionPhase::Idle;
             return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
         };
-        let deadline = Instant::now() + route.timeout;
         let arrived = self.take_arrival();
         match self.state.transaction {
             TransactionPhase::Begun { read_only } => {
@@ -247,6 +258,41 @@
         }
     }
 
+    /// Admits the caller for a statement, unless the host that forwarded it did.
+    async fn admit_caller(
+        &mut self,
+        route: &RouteRule,
+        deadline: Instant,
+    ) -> Result<(), AssignError> {
+        if self.forwarded_route.is_some() {
+            return Ok(());
+        }
+        let deadline = deadline - route.timeout / 2;
+        self.caller.admit(&self.shared, route, deadline).await
+    }
+
+    /// Ends an open transaction of a caller that may not use its route now.
+    fn refuse_caller(&mut self, error: AssignError) -> CallerReply {
+        let in_transaction = self.pinned.is_some();
+        self.roll_back();
+        self.state.transaction = match self.is_idle() || error == AssignError::UnknownKey {
+            true => TransactionPhase::Idle,
+            false => TransactionPhase::Failed,
+        };
+        match self.refuse_unassigned(error) {
+            CallerReply::Refused(CallerRefusal::NotRun, hint) if in_transaction => {
+                CallerReply::Refused(CallerRefusal::Aborted, hint)
+            }
+            reply => reply,
+        }
+    }
+
+    /// The refusal of a statement that was assigned no connection.
+    pub(super) fn refuse_unassigned(&mut self, error: AssignError) -> CallerReply {
+        self.key_removed |= error == AssignError::UnknownKey;
+        refuse_unassigned(error)
+    }
+
     /// True if the statement, or the prepared statement that it executes, writes.
     pub(super) fn is_write(&self, statement: &CallerStatement) -> bool {
         match &statement.action {
@@ -268,8 +314,10 @@
         trace: &mut RequestTrace,
     ) -> CallerReply {
         let writes = self.is_write(statement);
+        let caller = self.caller.clone();
         let limits = RunLimits {
             route,
+            caller: &caller,
             arrived,
             deadline,
             needs_primary: writes,
@@ -283,7 +331,7 @@
             let connection = match assign_connection(&self.shared, &limits, &mut tried, trace).await
             {
                 Ok(connection) => connection,
-                Err(error) => return refuse_unassigned(error),
+                Err(error) => return self.refuse_unassigned(error),
             };
             let end = self.try_single(connection, statement, &limits, &mut tried, trace).await;
             match end {
@@ -433,8 +481,13 @@
     CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
 }
 
-pub(super) fn refuse_unassigned(error: AssignError) -> CallerReply {
+fn refuse_unassigned(error: AssignError) -> CallerReply {
     let hint = match error {
+        AssignError::UnknownKey => {
+            let hint = "no workspace has this key";
+            return CallerReply::Refused(CallerRefusal::UnknownKey, hint);
+        }
+        AssignError::NoLease => "this host has no lease; try again in 500 ms",
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
         AssignError::CutOff => "this host is cut off from control; try again at once elsewhere",
--- a/crates/daemon/src/entry_role/database_pool.rs
+++ b/crates/daemon/src/entry_role/database_pool.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     entry_role::{InflightWindow, QueuedStatement, next_in_queue},
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 struct PoolWaiter {
     statement: QueuedStatement,
+    /// Workspace to which its connection must belong.
+    workspace: Option<Arc<str>>,
     offer: oneshot::Sender<PoolOffer>,
 }
 
@@ -134,21 +136,27 @@
         self.state.borrow().open == 0
     }
 
-    /// Takes an idle connection, opens one, or waits for one until `deadline`.
+    /// Takes an idle connection, opens one, or waits for one until `deadline`. A
+    /// connection to a database belongs to one workspace; those to gateways serve all.
     pub(super) async fn acquire(
         self: &Rc<Self>,
         shared: &EntryShared,
         statement: QueuedStatement,
+        workspace: Option<&Arc<str>>,
         deadline: Instant,
     ) -> Result<PooledLink, AcquireError> {
+        let workspace = workspace.filter(|_| self.gateway.is_none());
         loop {
             let has_capacity = self.has_capacity();
-            if has_capacity && let Some(link) = self.take_idle() {
+            if has_capacity && let Some(link) = self.take_idle(workspace) {
                 return Ok(self.check_out(Some(link)));
             }
+            if has_capacity {
+                self.close_idle_of_others(workspace);
+            }
             let may_open = if has_capacity { self.may_open() } else { Err(None) };
             let retry_at = match may_open {
-                Ok(()) => match self.open(shared).await {
+                Ok(()) => match self.open(shared, workspace).await {
                     Ok(link) => return Ok(link),
                     Err(OpenError::Unreachable) => return Err(AcquireError::Unreachable),
                     Err(OpenError::Misrouted) => return Err(AcquireError::Misrouted),
@@ -156,7 +164,9 @@
                 },
                 Err(full_until) => full_until,
             };
-            if let Some(link) = self.wait_for_offer(statement, retry_at, deadline).await? {
+            if let Some(link) =
+                self.wait_for_offer(statement, workspace, retry_at, deadline).await?
+            {
                 return Ok(link);
             }
         }
@@ -225,9 +235,13 @@
         }
     }
 
-    fn take_idle(&self) -> Option<UpstreamLink> {
+    /// The idle connection of the workspace that was used last.
+    fn take_idle(&self, workspace: Option<&Arc<str>>) -> Option<UpstreamLink> {
         let mut state = self.state.borrow_mut();
-        while let Some((link, _)) = state.idle.pop() {
+        while let Some(index) =
+            state.idle.iter().rposition(|(link, _)| link.workspace.as_ref() == workspace)
+        {
+            let (link, _) = state.idle.remove(index);
             if link.is_reusable() {
                 return Some(link);
             }
@@ -236,6 +250,19 @@
         None
     }
 
+    /// Closes the idle connection that is unused for longest if all connections of this
+    /// host are open, so that one of another workspace can be opened.
+    fn close_idle_of_others(&self, workspace: Option<&Arc<str>>) {
+        let mut state = self.state.borrow_mut();
+        let replaced = state.idle.iter().position(|(link, _)| link.workspace.as_ref() != workspace);
+        if state.open >= state.share
+            && let Some(index) = replaced
+        {
+            state.idle.remove(index);
+            state.open -= 1;
+        }
+    }
+
     /// Whether a connection may be opened now; if not, when to try again even if
     /// none is released until then.
     fn may_open(&self) -> Result<(), Option<Instant>> {
@@ -249,7 +276,11 @@
         }
     }
 
-    async fn open(self: &Rc<Self>, shared: &EntryShared) -> Result<PooledLink, OpenError> {
+    async fn open(
+        self: &Rc<Self>,
+        shared: &EntryShared,
+        workspace: Option<&Arc<str>>,
+    ) -> Result<PooledLink, OpenError> {
         self.state.borrow_mut().open += 1;
         // Dropping this takes the connection off the counts, also if the task is
         // cancelled while the connection is being opened.
@@ -261,7 +292,8 @@
             (None, None) => return Err(OpenError::Unreachable),
         };
         let name = &shared.settings.name;
-        let (link, position) = UpstreamLink::open(protocol, &self.target, address, name).await?;
+        let (link, position) =
+            UpstreamLink::open(protocol, &self.target, address, name, workspace).await?;
         pooled.link = Some(link);
         pooled.position_at_open = position;
         self.state.borrow_mut().refusals = 0;
@@ -286,6 +318,7 @@
     async fn wait_for_offer(
         self: &Rc<Self>,
         statement: QueuedStatement,
+        workspace: Option<&Arc<str>>,
         retry_at: Option<Instant>,
         deadline: Instant,
     ) -> Result<Option<PooledLink>, AcquireError> {
@@ -295,7 +328,9 @@
             state.waiters.retain(|waiter| !waiter.offer.is_closed());
             // A statement that waits again keeps its position in the queue.
             let index = state.waiters.partition_point(|w| w.statement.arrived <= statement.arrived);
-            state.waiters.insert(index, PoolWaiter { statement, offer });
+            state
+                .waiters
+                .insert(index, PoolWaiter { statement, workspace: workspace.cloned(), offer });
         }
         let wait_for_retry = async {
             match retry_at {
@@ -333,6 +368,12 @@
                 break;
             };
             let waiter = state.waiters.remove(index);
+            if let PoolOffer::Link(link) = &offer
+                && link.workspace != waiter.workspace
+            {
+                state.open -= 1;
+                offer = PoolOffer::Retry;
+            }
             match waiter.offer.send(offer) {
                 Ok(()) => return,
                 Err(returned) => offer = returned,
--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -77,8 +77,8 @@
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
-    /// Paths to services.
-    paths: RefCell<HashMap<Arc<str>, KnownPath>>,
+    /// Paths to services, for statements without a workspace and of each workspace.
+    paths: RefCell<HashMap<(Arc<str>, Option<Arc<str>>), KnownPath>>,
     /// Gateways that could not be reached, and until when they are not chosen.
     avoided_gateways: RefCell<HashMap<HostId, Moment>>,
     gateway_loads: RefCell<HashMap<TargetKey, BTreeMap<HostId, GatewayLoad>>>,
@@ -134,9 +134,13 @@
     }
 
     /// The pool of connections to a database, direct or through a gateway.
-    pub(super) fn pool(&self, record: &InstanceRecord) -> Rc<DatabasePool> {
+    pub(super) fn pool(
+        &self,
+        record: &InstanceRecord,
+        workspace: Option<&Arc<str>>,
+    ) -> Rc<DatabasePool> {
         let target = PoolTarget::Database(record.clone());
-        match &*self.path_to(&record.service) {
+        match &*self.path_to(&record.service, workspace) {
             DatabasePath::Direct { connections } => {
                 self.pool_via(target, None, *connections as usize)
             }
@@ -149,11 +153,15 @@
 
     /// The pool of connections to a gateway that chooses the database for each read
     /// of a service; `None` if this host chooses it.
-    pub(super) fn service_pool(&self, service: &Arc<str>) -> Option<Rc<DatabasePool>> {
+    pub(super) fn service_pool(
+        &self,
+        service: &Arc<str>,
+        workspace: Option<&Arc<str>>,
+    ) -> Option<Rc<DatabasePool>> {
         if !self.view.borrow().gateways_choose_databases() {
             return None;
         }
-        let path = self.path_to(service);
+        let path = self.path_to(service, workspace);
         let DatabasePath::Gateways(gateways) = &*path else {
             return None;
         };
@@ -220,19 +228,24 @@
 
     /// How this host reaches the databases of a service. Ranking all hosts for each
     /// statement would take longer than all else that a small host does for it.
-    fn path_to(&self, service: &Arc<str>) -> Rc<DatabasePath> {
+    fn path_to(&self, service: &Arc<str>, workspace: Option<&Arc<str>>) -> Rc<DatabasePath> {
         let view = self.view.borrow();
         let limit = view.service_rule(service).map_or(1, |rule| rule.max_connections).max(1);
         let connections = limit.saturating_sub(RESERVED_CONNECTIONS).max(1);
         let inputs = view.path_inputs(connections);
         let mut paths = self.paths.borrow_mut();
-        if let Some((known_inputs, path)) = paths.get(service)
+        let key = (service.clone(), workspace.cloned());
+        if let Some((known_inputs, path)) = paths.get(&key)
             && *known_inputs == inputs
         {
             return path.clone();
         }
-        let path = Rc::new(view.path_to(self.settings.host, service, connections));
-        paths.insert(service.clone(), (inputs, path.clone()));
+        let host = self.settings.host;
+        let path = Rc::new(match workspace {
+            Some(workspace) => view.workspace_path(host, service, workspace, connections),
+            None => view.path_to(host, service, connections),
+        });
+        paths.insert(key, (inputs, path.clone()));
         path
     }
 
@@ -242,7 +255,7 @@
         let pools: Vec<Rc<DatabasePool>> = self.pools.borrow().values().cloned().collect();
         self.decay_gateway_loads();
         let view = self.view.borrow();
-        self.paths.borrow_mut().retain(|service, _| view.service_rule(service).is_some());
+        self.paths.borrow_mut().retain(|(service, _), _| view.service_rule(service).is_some());
         drop(view);
         for pool in pools {
             let gone = !is_known(&self.view.borrow(), &pool.target().key());
@@ -267,7 +280,7 @@
     /// Number of connections that this host may open to a database, or to a
     /// gateway for it.
     fn connection_share(&self, target: &PoolTarget, gateway: Option<HostId>) -> usize {
-        match (gateway, &*self.path_to(target.service())) {
+        match (gateway, &*self.path_to(target.service(), None)) {
             (Some(_), _) => GATEWAY_LINKS,
             (None, DatabasePath::Direct { connections }) => *connections as usize,
             // This host is no longer a gateway: running statements finish, and no
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -41,6 +41,7 @@
     objective: FORWARD_CONNECT_TIMEOUT,
     waited: Duration::ZERO,
     read: None,
+    workspace: None,
 };
 
 /// Runs statements that another entry host forwards for a database of which this
@@ -249,7 +250,8 @@
             priority: urgency.priority,
         };
         let deadline = Instant::now() + FORWARD_CONNECT_TIMEOUT;
-        let pooled = pool.acquire(&self.shared, statement, deadline).await.ok()?;
+        let workspace = urgency.workspace.as_ref();
+        let pooled = pool.acquire(&self.shared, statement, workspace, deadline).await.ok()?;
         let service = Arc::clone(&self.record.service);
         let sampled_term = self.shared.view.borrow().term_led_by(&service, &self.record.key);
         Some(AssignedConnection::for_forward(pooled, service, sampled_term))
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -106,7 +106,9 @@
             objective: urgency.objective,
             priority: urgency.priority,
             service: self.service.clone(),
+            anonymous: false,
         }));
+        self.session.caller.workspace = urgency.workspace;
         Ok(())
     }
 
@@ -124,6 +126,7 @@
                     return Err(io::ErrorKind::TimedOut.into());
                 }
                 CallerRefusal::UnknownDatabase
+                | CallerRefusal::UnknownKey
                 | CallerRefusal::Malformed
                 | CallerRefusal::UnknownStatement => {
                     return Err(io::ErrorKind::InvalidData.into());
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -1,6 +1,7 @@
 //! An entry host: accepts callers' sessions and runs their statements over pooled
 //! connections to the databases.
 
+mod caller_admission;
 mod caller_session;
 mod control_links;
 mod database_pool;
--- a/crates/daemon/src/entry_role/run_limits.rs
+++ b/crates/daemon/src/entry_role/run_limits.rs
@@ -1,8 +1,15 @@
+use std::sync::Arc;
+
 use hawthornstack_decisions::{
     clock::Moment, instances::InstanceKey, positions::LogPosition, routes::RouteRule,
 };
 use tokio::time::Instant;
 
+use super::{
+    caller_admission::{AdmissionCheck, StatementCaller},
+    entry_shared::EntryShared,
+};
+
 use crate::edges::{ForwardUrgency, ReadTerms};
 
 /// Percentage of a read's remaining time for the first attempt; the rest is left for
@@ -34,6 +41,7 @@
 /// Requirements and time limits of a statement.
 pub(super) struct RunLimits<'a> {
     pub(super) route: &'a RouteRule,
+    pub(super) caller: &'a StatementCaller,
     /// When the statement arrived; for the session's first one at a database, when
     /// the session was requested.
     pub(super) arrived: Moment,
@@ -72,6 +80,21 @@
             objective: self.route.objective,
             waited: now.since(self.arrived),
             read,
+            workspace: self.workspace().cloned(),
+        }
+    }
+
+    /// Workspace whose connection the statement needs.
+    pub(super) fn workspace(&self) -> Option<&Arc<str>> {
+        self.caller.workspace.as_ref()
+    }
+
+    /// Whether the caller may still use the route. The host that took a forwarded
+    /// statement checks it itself.
+    pub(super) fn check_caller(&self, shared: &EntryShared, now: Moment) -> AdmissionCheck {
+        match self.forwarded {
+            true => AdmissionCheck::Valid,
+            false => self.caller.check(shared, self.route, now),
         }
     }
 
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -1,7 +1,6 @@
-use std::{io, rc::Rc, sync::Arc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use hawthornstack_decisions::clock::Moment;
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep_until, timeout, timeout_at},
@@ -39,10 +38,9 @@
 
 async fn run_session(shared: &Rc<EntryShared>, lines: &mut LineStream) -> io::Result<()> {
     let mut out = Vec::new();
-    let Some((database, opened)) = open_session(shared, lines, &mut out).await? else {
+    let Some(mut session) = open_session(shared, lines, &mut out).await? else {
         return lines.send(&out).await;
     };
-    let mut session = CallerSession::new(shared, database, opened);
     shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
     lines.send(&out).await?;
     while let Some(line) = read_message(shared, lines, &mut session).await? {
@@ -59,27 +57,30 @@
             Err(error) => refuse_malformed(shared, &mut out, error.reason, &session),
         }
         lines.send(&out).await?;
+        if session.key_removed {
+            return Ok(());
+        }
         lines.shrink();
     }
     Ok(())
 }
 
-/// Reads the connect request; returns the database and when the request arrived.
+/// Reads the connect request and opens the session that it asks for.
 /// `None` if there is no session: `out` then holds the refusal, or nothing if no
 /// request came.
 async fn open_session(
     shared: &Rc<EntryShared>,
     lines: &mut LineStream,
     out: &mut Vec<u8>,
-) -> io::Result<Option<(Arc<str>, Moment)>> {
+) -> io::Result<Option<CallerSession>> {
     let Ok(first) = timeout(CONNECT_TIMEOUT, lines.next_line()).await else {
         return Ok(None);
     };
     let Some(line) = first? else {
         return Ok(None);
     };
-    let database = match shared.callers.decode_request(&line) {
-        Ok(CallerRequest::Connect { database }) => database,
+    let (database, key) = match shared.callers.decode_request(&line) {
+        Ok(CallerRequest::Connect { database, key }) => (database, key),
         Ok(_) => {
             let hint = "name a database first";
             shared.callers.encode_refusal(out, CallerRefusal::Malformed, hint);
@@ -96,12 +97,23 @@
         shared.callers.encode_refusal(out, CallerRefusal::NotRun, hint);
         return Ok(None);
     }
-    if shared.view.borrow().route(&database).is_some() {
-        return Ok(Some((database, opened)));
+    let Some(route) = shared.view.borrow().route(&database) else {
+        let hint = "no route has this name";
+        shared.callers.encode_refusal(out, CallerRefusal::UnknownDatabase, hint);
+        return Ok(None);
+    };
+    let mut session = CallerSession::new(shared, database, opened);
+    session.caller.key = key;
+    let deadline = Instant::now() + ROUTES_TIMEOUT;
+    match session.caller.admit(shared, &route, deadline).await {
+        Ok(()) => Ok(Some(session)),
+        Err(error) => {
+            if let CallerReply::Refused(refusal, hint) = session.refuse_unassigned(error) {
+                shared.callers.encode_refusal(out, refusal, hint);
+            }
+            Ok(None)
+        }
     }
-    let hint = "no route has this name";
-    shared.callers.encode_refusal(out, CallerRefusal::UnknownDatabase, hint);
-    Ok(None)
 }
 
 /// Waits for a configuration, which may be missing shortly after the start of the
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::{
+    caller_admission::AdmissionCheck,
     database_pool::{AcquireError, PooledLink},
     entry_shared::{EntryShared, WriteGuard},
     primary_probe::probe_primary,
@@ -78,7 +79,7 @@
     /// Appends the urgency by which the gateway orders the next statement, if the
     /// connection leads through a gateway.
     pub(super) fn encode_urgency(&self, shared: &EntryShared, out: &mut Vec<u8>) {
-        if let Some(urgency) = self.urgency {
+        if let Some(urgency) = &self.urgency {
             shared.upstreams.encode_command(out, UpstreamCommand::Urgency(urgency));
         }
     }
@@ -95,6 +96,10 @@
     ServiceEmpty,
     /// This host is cut off from the control hosts; another one may serve the statement.
     CutOff,
+    /// This host got no lease in time, without which it cannot check the caller's key.
+    NoLease,
+    /// No workspace has the caller's key, or another one than before.
+    UnknownKey,
 }
 
 /// Chooses a database that may run the statement, or a gateway that chooses it, and
@@ -117,7 +122,7 @@
         let (pool, term_number, after) = match choose_upstream(shared, now, limits, tried) {
             UpstreamChoice::Gateway(pool) => (pool, None, limits.last_commit),
             UpstreamChoice::Use(record, term_number, after) => {
-                (shared.pool(&record), term_number, after)
+                (shared.pool(&record, limits.workspace()), term_number, after)
             }
             UpstreamChoice::Refuse(error) => {
                 record_wait_for_primary(shared, now, service, trace);
@@ -153,7 +158,7 @@
         if let Some(key) = &instance {
             shared.view.borrow_mut().loads.record_start(key);
         }
-        let acquired = pool.acquire(shared, statement, until).await;
+        let acquired = pool.acquire(shared, statement, limits.workspace(), until).await;
         if let Some(key) = &instance {
             shared.view.borrow_mut().loads.record_finish(key, None);
         }
@@ -171,7 +176,9 @@
                     pooled.release();
                     return Err(AssignError::NoConnection);
                 }
-                if !is_still_usable(shared, service, term_number) {
+                if !is_still_usable(shared, service, term_number)
+                    || limits.check_caller(shared, shared.now()) != AdmissionCheck::Valid
+                {
                     pooled.release();
                     continue;
                 }
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession, RetryDecision, refuse_unassigned, retry_reason},
+    caller_session::{CallerReply, CallerSession, RetryDecision, retry_reason},
     request_trace::{RequestTrace, TraceStep},
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
@@ -80,8 +80,10 @@
         deadline: Instant,
         trace: &mut RequestTrace,
     ) -> Result<AssignedConnection, CallerReply> {
+        let caller = self.caller.clone();
         let limits = RunLimits {
             route,
+            caller: &caller,
             arrived,
             deadline,
             needs_primary: !read_only,
@@ -94,7 +96,7 @@
         while Instant::now() < deadline {
             let connection = assign_connection(&self.shared, &limits, &mut tried, trace)
                 .await
-                .map_err(refuse_unassigned)?;
+                .map_err(|error| self.refuse_unassigned(error))?;
             let end =
                 self.begin_transaction(connection, read_only, &mut tried, deadline, trace).await;
             match end {
--- a/crates/daemon/src/entry_role/upstream_choice.rs
+++ b/crates/daemon/src/entry_role/upstream_choice.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::{
+    caller_admission::AdmissionCheck,
     database_pool::DatabasePool,
     entry_shared::EntryShared,
     run_limits::{RunLimits, TriedUpstreams},
@@ -42,12 +43,17 @@
     limits: &RunLimits<'_>,
     tried: &TriedUpstreams,
 ) -> UpstreamChoice {
+    match limits.check_caller(shared, now) {
+        AdmissionCheck::Valid => {}
+        AdmissionCheck::Wait => return UpstreamChoice::Wait,
+        AdmissionCheck::Refuse(error) => return UpstreamChoice::Refuse(error),
+    }
     let service = &limits.route.service;
     let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
     if !needs_primary
         && !limits.forwarded
         && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
-        && let Some(pool) = shared.service_pool(service)
+        && let Some(pool) = shared.service_pool(service, limits.workspace())
     {
         return UpstreamChoice::Gateway(pool);
     }
--- a/crates/daemon/src/entry_role/upstream_link.rs
+++ b/crates/daemon/src/entry_role/upstream_link.rs
@@ -1,4 +1,4 @@
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     entry_role::{ConnectionState, RestoreStep},
@@ -69,17 +69,21 @@
     lines: LineStream,
     pub(super) state: ConnectionState,
     pub(super) opened_at: Instant,
+    /// Workspace to which the connection belongs, if it belongs to one.
+    pub(super) workspace: Option<Arc<str>>,
 }
 
 impl UpstreamLink {
     /// Connects to a database, at its own address or that of a gateway, or to a
     /// gateway for reads of a service, and returns the log position that it reported.
-    /// Any other database at the address refuses the connection.
+    /// Any other database at the address refuses the connection. The database is told
+    /// the workspace, if there is one, or else the name of this host.
     pub(super) async fn open(
         protocol: &dyn UpstreamProtocol,
         target: &PoolTarget,
         address: SocketAddr,
-        client: &str,
+        host_name: &str,
+        workspace: Option<&Arc<str>>,
     ) -> Result<(Self, Option<LogPosition>), OpenError> {
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connected else {
@@ -87,9 +91,11 @@
         };
         prepare_socket(&stream, UPSTREAM_ACK_TIMEOUT).map_err(|_| OpenError::Unreachable)?;
         let (lines, state) = (LineStream::new(stream), ConnectionState::default());
-        let mut link = Self { lines, state, opened_at: Instant::now() };
+        let opened_at = Instant::now();
+        let mut link = Self { lines, state, opened_at, workspace: workspace.cloned() };
         let mut out = Vec::new();
         let (service, instance) = (target.service(), target.instance_id());
+        let client = workspace.map_or(host_name, |workspace| &**workspace);
         let open = UpstreamCommand::Open { service, client, instance };
         protocol.encode_command(&mut out, open);
         match timeout(OPEN_TIMEOUT, link.complete_open(protocol, &out)).await {
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -35,6 +35,9 @@
 /// Lease of an entry host: it serves this long without contact with the control
 /// leader, and a change of primary waits this long for a host that is cut off.
 const ENTRY_LEASE_DURATION: Duration = Duration::from_millis(3_500);
+/// Share of the time limit for revoking a key that a lease may take, in percent; the
+/// rest is left for drifting clocks and for statements on their way.
+const REVOCATION_LEASE_PERCENT: u32 = 70;
 /// Time before the end of a draining database's use at which its term ends: until
 /// then all entry hosts in contact with control must have stopped using it.
 const DRAIN_END_MARGIN: Duration = Duration::from_millis(1_000);
@@ -93,6 +96,14 @@
         }
     }
 
+    /// Shortens leases so that a host that is cut off stops serving a removed key
+    /// within `limit` after the removal was acknowledged: a lease proves a
+    /// configuration that is no older than the lease.
+    pub fn with_revocation_limit(mut self, limit: Duration) -> Self {
+        self.lease_duration = self.lease_duration.min(limit * REVOCATION_LEASE_PERCENT / 100);
+        self
+    }
+
     /// Silence after which a database is not relied on as a successor.
     pub(super) fn successor_silence(&self) -> Duration {
         self.announcement_lifetime / SUCCESSOR_SILENCE_DIVISOR
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -4,10 +4,10 @@
     time::Duration,
 };
 
-use super::{DatabasePath, GatewayMap, LoadTable, SampledPositions};
+use super::{CallerAccess, DatabasePath, GatewayMap, KeyTable, LoadTable, SampledPositions};
 use crate::{
     clock::Moment,
-    identity::HostId,
+    identity::{CallerKey, HostId},
     instances::{InstanceDeparture, InstanceDirectory, InstanceKey, InstanceRecord},
     leases::HeldLease,
     positions::LogPosition,
@@ -96,6 +96,8 @@
     directory: InstanceDirectory,
     routes: Option<Arc<RouteTable>>,
     routes_by_database: HashMap<Arc<str>, Arc<RouteRule>>,
+    /// Keys of the configuration in force; `None` if callers need none.
+    keys: Option<KeyTable>,
     terms: BTreeMap<Arc<str>, ServiceTerm>,
     /// Number of each service's last term in which this host accepts no more answers.
     surrendered_terms: BTreeMap<Arc<str>, u64>,
@@ -120,6 +122,7 @@
             directory: InstanceDirectory::default(),
             routes: None,
             routes_by_database: HashMap::new(),
+            keys: None,
             terms: BTreeMap::new(),
             surrendered_terms: BTreeMap::new(),
             sampled_positions: BTreeMap::new(),
@@ -148,6 +151,7 @@
                 .rev()
                 .map(|route| (route.database.clone(), Arc::new(route.clone())))
                 .collect();
+            self.keys = table.workspaces.as_deref().map(KeyTable::new);
             self.routes = Some(table);
         }
         if index <= self.applied {
@@ -210,6 +214,24 @@
         self.gateways.path_to(me, &self.data_centre, service, self.entry_hosts, connections)
     }
 
+    /// The same for statements of one workspace.
+    pub fn workspace_path(
+        &self,
+        me: HostId,
+        service: &str,
+        workspace: &str,
+        connections: u32,
+    ) -> DatabasePath {
+        self.gateways.workspace_path(
+            me,
+            &self.data_centre,
+            service,
+            workspace,
+            self.entry_hosts,
+            connections,
+        )
+    }
+
     /// True if reads may be sent to a gateway that chooses the database.
     pub fn gateways_choose_databases(&self) -> bool {
         self.gateways.gateways_choose_databases()
@@ -264,6 +286,31 @@
         self.routes_by_database.get(database).cloned()
     }
 
+    /// Whether a caller with this key may use a route now.
+    ///
+    /// A lease names the newest committed configuration, which must be applied here.
+    /// So a host with a lease knows of every key that was removed a lease's length ago.
+    pub fn caller_access(
+        &self,
+        now: Moment,
+        route: &RouteRule,
+        key: Option<&CallerKey>,
+    ) -> CallerAccess {
+        let Some(keys) = self.keys.as_ref().filter(|_| !route.anonymous) else {
+            return CallerAccess::Open;
+        };
+        if !self.has_lease(now) {
+            return match self.is_cut_off(now) {
+                true => CallerAccess::CutOff,
+                false => CallerAccess::Unproven,
+            };
+        }
+        match key.and_then(|key| keys.workspace(key)) {
+            Some(workspace) => CallerAccess::Member(workspace.clone()),
+            None => CallerAccess::Refused,
+        }
+    }
+
     /// Number of hosts that share the databases' connections.
     pub fn entry_hosts(&self) -> u32 {
         self.entry_hosts
--- a/crates/decisions/src/entry_role/gateway_map.rs
+++ b/crates/decisions/src/entry_role/gateway_map.rs
@@ -107,6 +107,36 @@
         DatabasePath::Gateways(ranked)
     }
 
+    /// How host `me` reaches the databases of a service for statements of one
+    /// workspace.
+    ///
+    /// Connections belong to one workspace each, so that a workspace's statements go to
+    /// the same few gateways whichever host takes them: a connection that is open there
+    /// is then used again, which saves a handshake for most statements.
+    pub fn workspace_path(
+        &self,
+        me: HostId,
+        data_centre: &str,
+        service: &str,
+        workspace: &str,
+        entry_hosts: u32,
+        connections: u32,
+    ) -> DatabasePath {
+        let direct = self.path_to(me, data_centre, service, entry_hosts, connections);
+        let everyone_connects =
+            entry_hosts <= MAX_DIRECT_HOSTS && connections >= CONNECTIONS_PER_GATEWAY * entry_hosts;
+        if everyone_connects || self.sites.is_empty() {
+            return direct;
+        }
+        let key = [service.as_bytes(), b"/", workspace.as_bytes()].concat();
+        let chosen = self.gateways(service, connections);
+        let ranked = rank_hosts(&key, chosen.into_iter().flat_map(|site| site.hosts));
+        match (ranked.first() == Some(&me), direct) {
+            (true, direct @ DatabasePath::Direct { .. }) => direct,
+            _ => DatabasePath::Gateways(ranked.into_iter().filter(|host| *host != me).collect()),
+        }
+    }
+
     /// The gateways of a service: as many in each data centre if the connections
     /// suffice, or else the best ones of all hosts.
     fn gateways(&self, service: &str, connections: u32) -> Vec<DataCentreHosts> {
--- a/crates/decisions/src/entry_role/mod.rs
+++ b/crates/decisions/src/entry_role/mod.rs
@@ -1,6 +1,7 @@
 //! State and decisions of an entry host: routes, leases, positions for reads, the
 //! choice of a database, and the state of sessions and shared connections.
 
+mod caller_access;
 mod connection_state;
 mod entry_view;
 mod gateway_load;
@@ -12,6 +13,7 @@
 mod session_state;
 mod state_confirmations;
 
+pub use caller_access::{CallerAccess, KeyTable};
 pub use connection_state::{ConnectionState, RestoreStep};
 pub use entry_view::{EntryView, PathInputs, PrimaryAvailability, ReadRequirement, ReadTarget};
 pub use gateway_load::{GatewayLoad, choose_gateway};
--- a/crates/decisions/src/routes/route_rule.rs
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -57,6 +57,13 @@
     pub priority: u32,
     /// Service that runs the requests.
     pub service: Arc<str>,
+    /// Callers need no key, also where workspaces are configured.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub anonymous: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// The operator's declaration of one service.
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use super::{RouteRule, ServiceRule, TrafficLimits};
+use super::{RouteRule, ServiceRule, TrafficLimits, WorkspaceRule};
+use crate::identity::CallerKey;
 
 /// Why a configuration was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -30,6 +31,31 @@
         /// The route.
         route: Arc<str>,
     },
+    /// A name or key of a workspace is empty or holds a blank or control character.
+    #[snafu(display(
+        "workspace {workspace:?} has a name or key that is empty or holds blanks or control \
+         characters; give it another"
+    ))]
+    MalformedWorkspace {
+        /// The workspace.
+        workspace: Arc<str>,
+    },
+    /// Two workspaces have the same name.
+    #[snafu(display("two workspaces have the name {workspace}; rename one"))]
+    DuplicateWorkspace {
+        /// The name.
+        workspace: Arc<str>,
+    },
+    /// A key is declared twice.
+    #[snafu(display(
+        "a key of workspace {workspace} is declared twice (digest {key}); remove one"
+    ))]
+    DuplicateKey {
+        /// The workspace of the second declaration.
+        workspace: Arc<str>,
+        /// The key.
+        key: CallerKey,
+    },
 }
 
 /// A complete configuration with a version that the operator assigns; the highest
@@ -44,6 +70,10 @@
     pub services: Vec<ServiceRule>,
     /// Limits that apply to all callers.
     pub limits: TrafficLimits,
+    /// Workspaces to one of which each caller must belong; `None` if callers need no
+    /// key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspaces: Option<Vec<WorkspaceRule>>,
     /// The configuration as the operator sent it, for reading back.
     pub source: Arc<str>,
 }
@@ -69,7 +99,7 @@
                 return Err(RouteError::DuplicatePath { database, path });
             }
         }
-        Ok(())
+        check_workspaces(self.workspaces.as_deref().unwrap_or_default())
     }
 
     /// The route of a database name.
@@ -82,3 +112,22 @@
         self.services.iter().find(|service| &*service.name == name)
     }
 }
+
+/// Checks that every key leads to one workspace.
+fn check_workspaces(workspaces: &[WorkspaceRule]) -> Result<(), RouteError> {
+    let (mut seen_names, mut seen_keys) = (BTreeSet::new(), BTreeSet::new());
+    for rule in workspaces {
+        let workspace = rule.name.clone();
+        let names = CallerKey::new(&rule.name);
+        if !names.is_well_formed() || !rule.keys.iter().all(CallerKey::is_well_formed) {
+            return Err(RouteError::MalformedWorkspace { workspace });
+        }
+        if !seen_names.insert(&rule.name) {
+            return Err(RouteError::DuplicateWorkspace { workspace });
+        }
+        if let Some(key) = rule.keys.iter().find(|key| !seen_keys.insert(*key)) {
+            return Err(RouteError::DuplicateKey { workspace, key: key.clone() });
+        }
+    }
+    Ok(())
+}
--- a/crates/decisions/tests/audit_trail.rs
+++ b/crates/decisions/tests/audit_trail.rs
@@ -19,6 +19,7 @@
             routes: Vec::new(),
             services: Vec::new(),
             limits: TrafficLimits { transaction_idle: std::time::Duration::from_secs(3) },
+            workspaces: None,
             source: Arc::from("{}"),
         };
         let command =
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -423,6 +423,7 @@
             sync_replicas: 0,
         }],
         limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        workspaces: None,
         source: Arc::from(format!("{{\"version\":{version}}}")),
     }
 }
--- a/crates/decisions/tests/debug_texts.rs
+++ b/crates/decisions/tests/debug_texts.rs
@@ -107,6 +107,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        workspaces: None,
         source: Arc::from("{}"),
     };
     ControlCommand::RoutesReplaced { table: Arc::new(table), at_unix_ms: 1_000 }
--- a/crates/decisions/tests/packed_routes.rs
+++ b/crates/decisions/tests/packed_routes.rs
@@ -23,6 +23,7 @@
             objective: Duration::from_millis(100),
             priority: 2,
             service: Arc::from(format!("service{}", number % 8)),
+            anonymous: false,
         }
     };
     RouteTable {
@@ -34,6 +35,7 @@
             sync_replicas: 0,
         }],
         limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        workspaces: None,
         source: Arc::from("x".repeat(400_000)),
     }
 }
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -28,6 +28,7 @@
         objective: Duration::from_millis(200),
         priority: 1,
         service: Arc::from(SERVICE),
+        anonymous: false,
     }
 }
 
--- a/crates/decisions/tests/whole_configurations.rs
+++ b/crates/decisions/tests/whole_configurations.rs
@@ -137,6 +137,7 @@
         objective: SECOND,
         priority: 1,
         service: Arc::from(service),
+        anonymous: false,
     };
     let check_routes = |routes: Vec<RouteRule>| {
         let mut table = table(1);
