--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -54,6 +54,9 @@
     ClosingAll,
 }
 
+/// A service, and the workspace whose statements take the path, if they have one.
+type PathKey = (Arc<str>, Option<Arc<str>>);
+
 /// A path to a service, and what it was computed from.
 type KnownPath = (PathInputs, Rc<DatabasePath>);
 
@@ -78,7 +81,7 @@
     pub(super) traces: TraceBudget,
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Paths to services, for statements without a workspace and of each workspace.
-    paths: RefCell<HashMap<(Arc<str>, Option<Arc<str>>), KnownPath>>,
+    paths: RefCell<HashMap<PathKey, KnownPath>>,
     /// Gateways that could not be reached, and until when they are not chosen.
     avoided_gateways: RefCell<HashMap<HostId, Moment>>,
     gateway_loads: RefCell<HashMap<TargetKey, BTreeMap<HostId, GatewayLoad>>>,
