Rank the gateways of a workspace by data centre; start the window to a choosing gateway small

Change: near gateways first, each ranked by service and workspace; the window to a gateway that chooses starts at two statements again.

--- a/crates/daemon/src/entry_role/pool_target.rs
+++ b/crates/daemon/src/entry_role/pool_target.rs
@@ -34,10 +34,11 @@
     }
 
     /// Slots of the database, for the first size of the window of statements. A gateway
-    /// that chooses the database keeps windows of its own, so that this host limits
-    /// only what it refuses.
+    /// that chooses the database stands for several, and is assumed to have one until its
+    /// answers tell: with an open window, bursts reached gateways that could not place
+    /// them.
     pub(super) fn slots(&self) -> u32 {
-        self.record().map_or(u32::MAX, |record| record.slots)
+        self.record().map_or(1, |record| record.slots)
     }
 
     pub(super) fn key(&self) -> TargetKey {
--- a/crates/decisions/src/entry_role/gateway_map.rs
+++ b/crates/decisions/src/entry_role/gateway_map.rs
@@ -97,22 +97,15 @@
         // Each host has its own order, so that the gateways share the load. Those in
         // its data centre come first.
         let key = [service.as_bytes(), &me.0.to_be_bytes()].concat();
-        let (near, far): (Vec<_>, Vec<_>) =
-            chosen.into_iter().partition(|site| *site.data_centre == *data_centre);
-        let rank = |sites: Vec<DataCentreHosts>| {
-            rank_hosts(&key, sites.into_iter().flat_map(|site| site.hosts))
-        };
-        let mut ranked = rank(near);
-        ranked.extend(rank(far));
-        DatabasePath::Gateways(ranked)
+        DatabasePath::Gateways(rank_near_first(chosen, data_centre, &key))
     }
 
     /// How host `me` reaches the databases of a service for statements of one
     /// workspace.
     ///
-    /// Connections belong to one workspace each, so that a workspace's statements go to
-    /// the same few gateways whichever host takes them: a connection that is open there
-    /// is then used again, which saves a handshake for most statements.
+    /// A connection belongs to one workspace. All hosts of a data centre send the
+    /// statements of a workspace to the same gateway, so that its connections are used
+    /// again, which saves a handshake for most statements.
     pub fn workspace_path(
         &self,
         me: HostId,
@@ -130,7 +123,7 @@
         }
         let key = [service.as_bytes(), b"/", workspace.as_bytes()].concat();
         let chosen = self.gateways(service, connections);
-        let ranked = rank_hosts(&key, chosen.into_iter().flat_map(|site| site.hosts));
+        let ranked = rank_near_first(chosen, data_centre, &key);
         match (ranked.first() == Some(&me), direct) {
             (true, direct @ DatabasePath::Direct { .. }) => direct,
             _ => DatabasePath::Gateways(ranked.into_iter().filter(|host| *host != me).collect()),
@@ -165,3 +158,16 @@
     hosts.truncate(limit);
     DataCentreHosts { data_centre: site.data_centre.clone(), hosts }
 }
+
+/// Gateways in the order in which a host asks them: those in its own data centre
+/// first, then the others, each by their rank for `key`.
+fn rank_near_first(gateways: Vec<DataCentreHosts>, data_centre: &str, key: &[u8]) -> Vec<HostId> {
+    let (near, far): (Vec<_>, Vec<_>) =
+        gateways.into_iter().partition(|site| *site.data_centre == *data_centre);
+    let rank = |sites: Vec<DataCentreHosts>| {
+        rank_hosts(key, sites.into_iter().flat_map(|site| site.hosts))
+    };
+    let mut ranked = rank(near);
+    ranked.extend(rank(far));
+    ranked
+}
--- a/crates/decisions/tests/gateway_map.rs
+++ b/crates/decisions/tests/gateway_map.rs
@@ -181,3 +181,46 @@
     assert!(unknown_to_host * 2 > reads, "the pattern: {unknown_to_host} of {reads}");
     assert!(unknown_to_gateway * 50 < reads, "{unknown_to_gateway} of {reads}");
 }
+
+/// Guards against handshakes for most statements: a connection belongs to one
+/// workspace, so the hosts of a data centre have to send its statements to the same
+/// gateway, which is one of their own data centre.
+#[test]
+fn workspace_has_one_gateway_in_each_data_centre() {
+    let (hosts, sites, connections) = (76, 4, 43);
+    let map = map_of(hosts, sites);
+    let mut first_gateways = BTreeMap::new();
+    for me in 1..=hosts {
+        let site = site_of(me, sites);
+        let path =
+            map.workspace_path(HostId(me), SITES[site], "books", "north", hosts, connections);
+        let first = match path {
+            DatabasePath::Direct { .. } => HostId(me),
+            DatabasePath::Gateways(ranked) => ranked[0],
+        };
+        assert_eq!(*first_gateways.entry(site).or_insert(first), first, "host {me}");
+        assert_eq!(site_of(first.0, sites), site);
+    }
+    let other = map.workspace_path(HostId(1), SITES[1], "books", "south", hosts, connections);
+    assert_ne!(
+        other,
+        map.workspace_path(HostId(1), SITES[1], "books", "north", hosts, connections)
+    );
+}
+
+/// A host that is a gateway, but not the workspace's first one, uses another host's
+/// connections and is not asked to connect to itself.
+#[test]
+fn gateways_forward_to_the_first_gateway_of_a_workspace() {
+    let (hosts, sites, connections) = (76, 4, 43);
+    let map = map_of(hosts, sites);
+    for (me, path) in paths(hosts, sites, "books", connections) {
+        if matches!(path, DatabasePath::Direct { .. }) {
+            let site = SITES[site_of(me, sites)];
+            let path = map.workspace_path(HostId(me), site, "books", "north", hosts, connections);
+            if let DatabasePath::Gateways(ranked) = path {
+                assert!(!ranked.is_empty() && !ranked.contains(&HostId(me)), "host {me}");
+            }
+        }
+    }
+}
