Carry out the choice of connections by workspace in the pools

Cause: connections were closed for statements that could have waited for their own, a granted connection was lost from the counts when its statement was cancelled, and the new connection was opened before the database had read that the old one was closed. Change: database_pool carries out the decisions of connection_choice; what a waiting statement is granted is counted until it is used or dropped; a replaced connection is closed at both ends (20 ms at most) before the next one is opened. Waiting statements are served when idle connections were closed. Metrics connections_replaced and workspace_connections.

--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -9,10 +9,13 @@
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::EntryReport,
-    entry_role::{DatabasePath, EntryView, GatewayLoad, PathInputs, choose_gateway},
+    entry_role::{
+        DatabasePath, EntryView, GatewayLoad, LargestWorkspaces, PathInputs, choose_gateway,
+    },
     identity::HostId,
     instances::InstanceRecord,
 };
+use opentelemetry::KeyValue;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -30,11 +33,6 @@
 
 /// Connections to each database that are left free for the control hosts' requests.
 const RESERVED_CONNECTIONS: u32 = 1;
-/// A host keeps its share divided by this number open while idle. For some seconds
-/// databases still hold the connections of hosts that lost power, and only the rest
-/// is available to these hosts when they return.
-const IDLE_SHARE_DIVISOR: usize = 4;
-
 /// Connections of one host to one gateway for one database. Each transaction that
 /// waits for its next statement occupies one of them.
 const GATEWAY_LINKS: usize = 8;
@@ -85,6 +83,7 @@
     /// Gateways that could not be reached, and until when they are not chosen.
     avoided_gateways: RefCell<HashMap<HostId, Moment>>,
     gateway_loads: RefCell<HashMap<TargetKey, BTreeMap<HostId, GatewayLoad>>>,
+    largest_workspaces: RefCell<LargestWorkspaces>,
     /// Number of open writes by service and term.
     writes: RefCell<BTreeMap<(Arc<str>, u64), u32>>,
 }
@@ -118,6 +117,7 @@
             paths: RefCell::new(HashMap::new()),
             avoided_gateways: RefCell::new(HashMap::new()),
             gateway_loads: RefCell::new(HashMap::new()),
+            largest_workspaces: RefCell::default(),
             writes: RefCell::new(BTreeMap::new()),
         }
     }
@@ -264,7 +264,7 @@
             let gone = !is_known(&self.view.borrow(), &pool.target().key());
             let share = self.connection_share(pool.target(), pool.gateway());
             pool.set_share(share);
-            pool.close_idle((share / IDLE_SHARE_DIVISOR).max(1), gone);
+            pool.close_idle(gone);
             if gone && pool.is_empty() {
                 self.pools.borrow_mut().remove(&(pool.target().key(), pool.gateway()));
             }
@@ -302,8 +302,16 @@
         metrics.set("hawthornstack_lease_seconds", lease, &[]);
         metrics.set("hawthornstack_routes_version", view.routes_version() as f64, &[]);
         metrics.set("hawthornstack_applied_index", view.applied() as f64, &[]);
+        let mut counts = BTreeMap::new();
         for pool in self.pools.borrow().values() {
             pool.update_gauges(metrics);
+            if pool.gateway().is_none() {
+                pool.add_workspace_counts(&mut counts);
+            }
+        }
+        for (workspace, count) in self.largest_workspaces.borrow_mut().label_counts(&counts) {
+            let label = [KeyValue::new("workspace", workspace)];
+            metrics.set("hawthornstack_workspace_connections", count as f64, &label);
         }
     }
 
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -11,6 +11,8 @@
 mod forward_task;
 mod forwarded_reads;
 mod pool_target;
+mod pool_waiters;
+mod pooled_link;
 mod primary_probe;
 mod request_trace;
 mod run_limits;
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -10,8 +10,9 @@
 
 use super::{
     caller_admission::AdmissionCheck,
-    database_pool::{AcquireError, PooledLink},
+    database_pool::AcquireError,
     entry_shared::{EntryShared, WriteGuard},
+    pooled_link::PooledLink,
     primary_probe::probe_primary,
     request_trace::{RequestTrace, TraceStep},
     run_limits::{RunLimits, TriedUpstreams},
--- a/crates/daemon/src/entry_role/upstream_link.rs
+++ b/crates/daemon/src/entry_role/upstream_link.rs
@@ -20,6 +20,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for a database to accept a connection, which waits for a slot there.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for a database to close a connection that this host has closed: several round
+/// trips within a region, since a statement waits for it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Time that sent data may stay unacknowledged before a connection counts as broken.
 const UPSTREAM_ACK_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -69,8 +72,6 @@
     lines: LineStream,
     pub(super) state: ConnectionState,
     pub(super) opened_at: Instant,
-    /// Workspace to which the connection belongs, if it belongs to one.
-    pub(super) workspace: Option<Arc<str>>,
 }
 
 impl UpstreamLink {
@@ -92,7 +93,7 @@
         prepare_socket(&stream, UPSTREAM_ACK_TIMEOUT).map_err(|_| OpenError::Unreachable)?;
         let (lines, state) = (LineStream::new(stream), ConnectionState::default());
         let opened_at = Instant::now();
-        let mut link = Self { lines, state, opened_at, workspace: workspace.cloned() };
+        let mut link = Self { lines, state, opened_at };
         let mut out = Vec::new();
         let (service, instance) = (target.service(), target.instance_id());
         let client = workspace.map_or(host_name, |workspace| &**workspace);
@@ -187,6 +188,13 @@
         Ok(reply)
     }
 
+    /// Closes the connection and waits until the database has closed it, too, so that it
+    /// is no longer counted there; at most `CLOSE_TIMEOUT`.
+    pub(super) async fn close(mut self) {
+        // Without an answer in time the connection is closed by dropping it.
+        let _ = timeout(CLOSE_TIMEOUT, self.lines.close()).await;
+    }
+
     /// True if the connection is still open and no unread data is left on it.
     pub(super) fn is_reusable(&self) -> bool {
         self.lines.is_idle()
--- a/crates/daemon/src/links/line_stream.rs
+++ b/crates/daemon/src/links/line_stream.rs
@@ -78,6 +78,22 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Ends the sending side and reads until the peer has closed the connection; what it
+    /// still sends is dropped.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub async fn close(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        loop {
+            self.buffer.clear();
+            self.buffer.reserve(READ_BYTES);
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
     /// True if no data has arrived and the peer has not closed the connection: only
     /// then may a pooled connection be used again. May consume a byte if false.
     pub fn is_idle(&self) -> bool {
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,7 +7,7 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 17] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 19] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
@@ -16,6 +16,14 @@
     ("hawthornstack_reads", "reads sent to a database, by its role"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
     ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
+    (
+        "hawthornstack_workspace_connections",
+        "connections to databases, by workspace: the largest and the others together",
+    ),
+    (
+        "hawthornstack_connections_replaced",
+        "connections of a workspace that were closed to open one of another",
+    ),
     ("hawthornstack_queued_statements", "statements that wait for a connection, by database"),
     ("hawthornstack_lease_seconds", "time that the lease still holds, seconds"),
     ("hawthornstack_routes_version", "version of the configuration in force"),
@@ -42,6 +50,7 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     reads: Counter<u64>,
+    connections_replaced: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     gauges: Vec<(&'static str, Gauge<f64>)>,
 }
@@ -82,6 +91,7 @@
         let gauges = [
             "hawthornstack_sessions",
             "hawthornstack_upstream_connections",
+            "hawthornstack_workspace_connections",
             "hawthornstack_queued_statements",
             "hawthornstack_lease_seconds",
             "hawthornstack_routes_version",
@@ -104,6 +114,7 @@
             retries: counter(&meter, "hawthornstack_retries"),
             refusals: counter(&meter, "hawthornstack_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
+            connections_replaced: counter(&meter, "hawthornstack_connections_replaced"),
             log_lines_left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
             registry,
@@ -138,6 +149,11 @@
         self.reads.add(1, &[KeyValue::new("role", role)]);
     }
 
+    /// Counts a connection that was closed to open one of another workspace.
+    pub fn count_replaced(&self) {
+        self.connections_replaced.add(1, &[]);
+    }
+
     /// Counts log lines that were not written.
     pub fn count_left_out(&self, kind: &'static str, lines: u64) {
         self.log_lines_left_out.add(lines, &[KeyValue::new("kind", kind)]);
