Decide about caps of workspaces over all hosts

Cause: the configuration holds caps of workspaces, which nothing enforces.

Change: the module usage.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -29,6 +29,7 @@
 //! - `routing`: `hawthornstackd`
 //! - `sessions`: `hawthornstackd`, except `rank_hosts`, which both use
 //! - `statements`: `hawthornstackd`
+//! - `usage`: `hawthornstack-platform`
 
 pub mod agreement;
 pub mod clock;
@@ -49,3 +50,4 @@
 pub mod routing;
 pub mod sessions;
 pub mod statements;
+pub mod usage;
--- /dev/null
+++ b/crates/decisions/src/usage/usage_bounds.rs
@@ -0,0 +1,33 @@
+use std::time::Duration;
+
+/// Longest time for which a granted token is valid.
+const MAX_LIFETIME: Duration = Duration::from_millis(500);
+/// A new leader grants at most this part of the slack before its buckets refill; the
+/// rest is left for a second change of leader and for hosts without one.
+const START_DIVISOR: u32 = 2;
+
+/// Limits on how far the operations of a workspace may exceed its cap.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageBounds {
+    /// Time for which a token is valid after its request was sent.
+    pub lifetime: Duration,
+    /// Tokens that a bucket without a history holds, if its burst allows them.
+    pub start_tokens: u32,
+}
+
+impl Default for UsageBounds {
+    fn default() -> Self {
+        Self { lifetime: MAX_LIFETIME, start_tokens: 0 }
+    }
+}
+
+impl UsageBounds {
+    /// Bounds for caps that may be exceeded, within each `window`, by the part
+    /// `excess` and by `slack` operations. Tokens that are used late add at most one
+    /// lifetime to a window. `excess` must be neither negative nor NaN.
+    pub fn new(window: Duration, excess: f64, slack: u32) -> Self {
+        let allowed = Duration::try_from_secs_f64(window.as_secs_f64() * excess);
+        let lifetime = allowed.unwrap_or(MAX_LIFETIME).min(MAX_LIFETIME);
+        Self { lifetime, start_tokens: slack / START_DIVISOR }
+    }
+}
