Enforce caps of workspaces on entry hosts with tokens of the leader

Cause: operations above a workspace's cap ran.

Change: EntryReport::UsageRequest and EntryUpdate::UsageGrant; a current leader grants, another control host names the leader as for renewals. An operation (a single statement, or a transaction at its first) takes a token after its caller is admitted, unless another host forwarded it; it waits no longer than for a connection, and the token is returned if nothing was sent. A refusal is BUSY with the milliseconds in its hint. One message asks for all workspaces that are short. The metric hawthornstack_usage_refusals counts refusals.

No test runs the hooks of the entry host over sockets.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -15,6 +15,7 @@
     control_state::AuditRecord,
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
+    usage::CapChange,
 };
 use hawthornstack_wire::operators::StatusResponse;
 use tokio::{
@@ -397,6 +398,12 @@
                 "primary is draining and no other database can replace it"
             );
         }
+        ControlLogEvent::CapChanged(CapChange { workspace, capped: true }) => {
+            tracing::info!(target: "control", %workspace, "workspace reached its cap");
+        }
+        ControlLogEvent::CapChanged(CapChange { workspace, capped: false }) => {
+            tracing::info!(target: "control", %workspace, "workspace is within its cap again");
+        }
         ControlLogEvent::InstanceChanged { key, what } => {
             tracing::info!(target: "control", instance = %key, what, "database changed");
         }
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -12,10 +12,11 @@
     caller_admission::StatementCaller,
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
+    retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
         AssignError, AssignedConnection, ROLLBACK_TIMEOUT, assign_connection, encode_statement,
-        pause_before_retry, run_exchange,
+        run_exchange,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
@@ -34,6 +35,9 @@
     },
     /// Refused by this host, with a hint for the caller.
     Refused(CallerRefusal, &'static str),
+    /// Refused by this host without being run; the hint states the reason and the time
+    /// after which it may be tried again.
+    RefusedFor(&'static str, Duration),
 }
 
 /// Outcome of one attempt at a database.
@@ -44,28 +48,6 @@
     Retry,
 }
 
-/// Whether a statement is tried again after a database refused it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RetryDecision {
-    /// No retry: the caller gets the database's answer.
-    Final,
-    /// Retry immediately, at another database.
-    AtOnce,
-    /// Retry after a pause, if there is time for one.
-    AfterPause,
-}
-
-impl RetryDecision {
-    /// Pauses if the decision asks for it; true if another attempt may be made.
-    pub(super) async fn wait_for_retry(self, shared: &EntryShared, deadline: Instant) -> bool {
-        match self {
-            Self::Final => false,
-            Self::AtOnce => true,
-            Self::AfterPause => pause_before_retry(shared, deadline).await,
-        }
-    }
-}
-
 /// One caller's session.
 pub(super) struct CallerSession {
     pub(super) shared: Rc<EntryShared>,
@@ -209,6 +191,10 @@
                 self.shared.metrics.count_refusal(refusal.name());
                 (refusal.name(), *hint)
             }
+            CallerReply::RefusedFor(reason, _) => {
+                self.shared.metrics.count_refusal(CallerRefusal::NotRun.name());
+                (CallerRefusal::NotRun.name(), *reason)
+            }
         };
         let now = self.shared.now();
         let view = self.shared.view.borrow();
@@ -249,13 +235,19 @@
             return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
         };
         let arrived = self.take_arrival();
-        match self.state.transaction {
+        let permit = match self.admit_operation(route, deadline).await {
+            Ok(permit) => permit,
+            Err(reply) => return reply,
+        };
+        let reply = match self.state.transaction {
             TransactionPhase::Begun { read_only } => {
                 self.run_first_statement(route, statement, read_only, arrived, deadline, trace)
                     .await
             }
             _ => self.run_single(route, statement, arrived, deadline, trace).await,
-        }
+        };
+        self.end_operation(permit, trace);
+        reply
     }
 
     /// Admits the caller for a statement, unless the host that forwarded it did.
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -68,7 +68,7 @@
         let (events, mut received) = mpsc::unbounded_channel();
         let seeds = shared.settings.seeds.clone();
         let mut links = Self {
-            shared,
+            shared: shared.clone(),
             links: BTreeMap::new(),
             leader: None,
             events,
@@ -81,6 +81,7 @@
                 biased;
                 Some(event) = received.recv() => links.apply_event(event),
                 Some(report) = reports.recv() => links.send_to_leader(&report),
+                () = shared.usage.wait_for_request() => links.request_usage(),
                 () = sleep_until(renew_at) => {
                     renew_at = Instant::now() + RENEW_INTERVAL;
                     links.renew_all();
@@ -176,6 +177,9 @@
                 };
                 let planned = find_newly_planned(&shared, &terms);
                 let newer = shared.view.borrow_mut().apply_state(index, routes, terms);
+                if let Some(table) = shared.view.borrow().routes() {
+                    shared.usage.follow(table);
+                }
                 if newer {
                     self.confirm_applied(index, planned);
                 }
@@ -201,6 +205,9 @@
             EntryUpdate::Probe { service, number } => {
                 return probe_primary(&shared, &service, number);
             }
+            EntryUpdate::UsageGrant { sent_at, lifetime, grants } => {
+                return shared.usage.apply_grant(now, sent_at, lifetime, &grants);
+            }
         }
         shared.changed.notify_waiters();
     }
@@ -295,6 +302,13 @@
         }
     }
 
+    /// Requests tokens for all workspaces that are short of them.
+    fn request_usage(&mut self) {
+        if let Some(report) = self.shared.usage.next_request(self.shared.now()) {
+            self.send_to_leader(&report);
+        }
+    }
+
     /// Replaces links on which no update came within their time limit.
     fn redial_silent_links(&mut self, now: Instant) {
         let silent: Vec<HostId> = self
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -117,6 +117,10 @@
         match reply {
             CallerReply::Done => callers.encode_done(out),
             CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
+            // Forwarded statements are not limited here.
+            CallerReply::RefusedFor(reason, _) => {
+                callers.encode_refusal(out, CallerRefusal::NotRun, reason);
+            }
             CallerReply::Refused(refusal, hint) => match refusal {
                 CallerRefusal::NotRun | CallerRefusal::Aborted => {
                     callers.encode_refusal(out, refusal, hint);
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -13,12 +13,15 @@
 mod pool_target;
 mod primary_probe;
 mod request_trace;
+mod retry_decision;
 mod run_limits;
 mod session_task;
 mod statement_run;
 mod transaction_run;
 mod upstream_choice;
 mod upstream_link;
+mod usage_admission;
+mod usage_gate;
 
 pub use entry_host::EntryHost;
 pub use entry_settings::EntrySettings;
--- a/crates/daemon/src/entry_role/request_trace.rs
+++ b/crates/daemon/src/entry_role/request_trace.rs
@@ -108,6 +108,11 @@
         matches!(self.steps.last(), Some((_, TraceStep::WaitedForPrimary { .. })))
     }
 
+    /// True if the statement was sent over a connection.
+    pub(super) fn reached_database(&self) -> bool {
+        self.steps.iter().any(|(_, step)| matches!(step, TraceStep::Sent { .. }))
+    }
+
     pub(super) fn record(&mut self, now: Moment, step: TraceStep) {
         if self.merge_into_last(&step) {
             return;
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -170,6 +170,12 @@
         CallerReply::Done => shared.callers.encode_done(out),
         CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
         CallerReply::Refused(refusal, hint) => shared.callers.encode_refusal(out, refusal, hint),
+        CallerReply::RefusedFor(reason, retry_after) => {
+            // Rounded up, so that a caller does not come back too early.
+            let millis = retry_after.as_micros().div_ceil(1_000);
+            let hint = format!("{reason}; try again in {millis} ms");
+            shared.callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
+        }
     }
     shared.callers.encode_ready(out, session.phase(), session.position);
 }
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -6,8 +6,9 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession, RetryDecision, retry_reason},
+    caller_session::{CallerReply, CallerSession, retry_reason},
     request_trace::{RequestTrace, TraceStep},
+    retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
         AssignedConnection, assign_connection, encode_begin, encode_statement, pause_before_retry,
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,12 +7,13 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 17] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 18] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
     ("hawthornstack_retries", "attempts that were repeated, by reason"),
     ("hawthornstack_refusals", "statements refused by this host, by reason"),
+    ("hawthornstack_usage_refusals", "operations refused for lack of a token of their workspace"),
     ("hawthornstack_reads", "reads sent to a database, by its role"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
     ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
@@ -41,6 +42,7 @@
     stage_seconds: Histogram<f64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
+    usage_refusals: Counter<u64>,
     reads: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     gauges: Vec<(&'static str, Gauge<f64>)>,
@@ -103,6 +105,7 @@
             stage_seconds: histogram(&meter, "hawthornstack_stage_seconds"),
             retries: counter(&meter, "hawthornstack_retries"),
             refusals: counter(&meter, "hawthornstack_refusals"),
+            usage_refusals: counter(&meter, "hawthornstack_usage_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
             log_lines_left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
@@ -132,6 +135,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts an operation of a workspace that reached its cap.
+    pub fn count_usage_refusal(&self) {
+        self.usage_refusals.add(1, &[]);
+    }
+
     /// Counts a read that was sent to a primary or to a replica.
     pub fn count_read(&self, is_primary: bool) {
         let role = if is_primary { "primary" } else { "replica" };
--- a/crates/daemon/tests/outer_texts.rs
+++ b/crates/daemon/tests/outer_texts.rs
@@ -78,6 +78,7 @@
     metrics.record_stage("some stage", 0.003);
     metrics.count_retry("some reason");
     metrics.count_refusal("some reason");
+    metrics.count_usage_refusal();
     metrics.count_read(true);
     metrics.count_read(false);
     metrics.count_left_out("some kind", 3);
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -7,6 +7,7 @@
     instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     primaries::InstanceStatus,
     routes::RouteTable,
+    usage::CapChange,
 };
 
 /// Order of an operator to a control host.
@@ -132,6 +133,8 @@
         /// The new state as text.
         what: &'static str,
     },
+    /// A workspace reached its cap, or has not reached it lately.
+    CapChanged(CapChange),
 }
 
 /// Output of a control host; effects are executed in the order given.
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -20,6 +20,7 @@
     leases::LeaseTable,
     primaries::{SuspicionPoll, TermChange},
     routes::PackedRoutes,
+    usage::{UsageBounds, UsageLedger},
 };
 
 /// Number of log entries kept in memory. Entries carry whole configurations,
@@ -67,6 +68,8 @@
     /// Time for which a database may be used after it announced that it drains;
     /// `None` for no limit.
     pub drain_period: Option<Duration>,
+    /// Limits on how far workspaces may exceed their caps.
+    pub usage_bounds: UsageBounds,
     /// Random seed, different at every start.
     pub seed: u64,
 }
@@ -92,6 +95,7 @@
             lease_duration: ENTRY_LEASE_DURATION,
             announcement_lifetime: announcement_interval * MISSED_ANNOUNCEMENT_LIMIT,
             drain_period,
+            usage_bounds: UsageBounds::default(),
             seed,
         }
     }
@@ -104,6 +108,12 @@
         self
     }
 
+    /// Sets the limits on how far workspaces may exceed their caps.
+    pub fn with_usage_bounds(mut self, bounds: UsageBounds) -> Self {
+        self.usage_bounds = bounds;
+        self
+    }
+
     /// Silence after which a database is not relied on as a successor.
     pub(super) fn successor_silence(&self) -> Duration {
         self.announcement_lifetime / SUCCESSOR_SILENCE_DIVISOR
@@ -146,6 +156,8 @@
     /// Commands, with the time at which each may be proposed again.
     pub(super) recent_proposals: Vec<(ControlCommand, Moment)>,
     pub(super) next_check_at: Moment,
+    /// Token buckets of the workspaces with a cap.
+    pub(super) usage: UsageLedger,
 }
 
 /// Changes by applied commands that have not been published yet.
@@ -288,6 +300,7 @@
     fn tick(&mut self, now: Moment) {
         self.step_agreement(now, AgreementEvent::Tick);
         self.run_leader_tasks(now);
+        self.log_cap_changes(now);
     }
 
     fn handle_peer_link(&mut self, now: Moment, peer: HostId) {
@@ -405,6 +418,7 @@
         if change.routes {
             let version = self.control.routes_version();
             self.effects.push(ControlEffect::Log(ControlLogEvent::RoutesReplaced(version)));
+            self.follow_caps(now);
         }
         change.services.iter().for_each(|service| self.log_term_change(service));
         if change.for_entries {
@@ -443,7 +457,9 @@
             without_successor: BTreeMap::new(),
             recent_proposals: Vec::new(),
             next_check_at: now,
+            usage: UsageLedger::new(self.settings.usage_bounds),
         });
+        self.follow_caps(now);
         for entry_host in self.entry_hosts.values_mut() {
             entry_host.applied = 0;
         }
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -68,6 +68,9 @@
             EntryReport::PrimaryReachable { service, number, reachable } => {
                 self.record_reachability(now, host, &service, number, reachable);
             }
+            EntryReport::UsageRequest { sent_at, needs } => {
+                self.grant_usage(now, host, sent_at, &needs);
+            }
         }
     }
 
@@ -254,7 +257,7 @@
         self.entry_hosts.iter().filter(|(_, entry)| entry.linked).map(|(host, _)| *host).collect()
     }
 
-    fn send_entry(&mut self, host: HostId, update: EntryUpdate) {
+    pub(super) fn send_entry(&mut self, host: HostId, update: EntryUpdate) {
         self.effects.push(ControlEffect::SendEntry(host, update));
     }
 }
--- a/crates/decisions/src/control_role/messages.rs
+++ b/crates/decisions/src/control_role/messages.rs
@@ -10,6 +10,7 @@
     instances::{InstanceDeparture, InstanceRecord},
     primaries::ServiceTerm,
     routes::PackedRoutes,
+    usage::{UsageNeed, UsageShare},
 };
 
 /// Message between control hosts.
@@ -51,6 +52,13 @@
         /// False if connections to it fail.
         reachable: bool,
     },
+    /// Requests tokens of workspaces with a cap.
+    UsageRequest {
+        /// Time of the request on the entry host's clock, echoed in the grant.
+        sent_at: Moment,
+        /// Workspaces that are short of tokens.
+        needs: Vec<UsageNeed>,
+    },
 }
 
 /// Message from a control host to an entry host.
@@ -103,6 +111,15 @@
         /// Number of the service's term.
         number: u64,
     },
+    /// Tokens for the workspaces of a [`EntryReport::UsageRequest`].
+    UsageGrant {
+        /// Time of the request on the holder's clock.
+        sent_at: Moment,
+        /// Time for which the tokens are valid, counted from the request.
+        lifetime: Duration,
+        /// Tokens by workspace.
+        grants: Vec<UsageShare>,
+    },
 }
 
 /// Role of the host that opens a link.
--- a/crates/decisions/src/control_role/mod.rs
+++ b/crates/decisions/src/control_role/mod.rs
@@ -10,6 +10,7 @@
 mod messages;
 mod order_flow;
 mod term_flow;
+mod usage_flow;
 
 pub use control_event::{
     ControlEffect, ControlEvent, ControlLogEvent, OperatorOrder, OrderAnswer, PromoteResult,
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -112,6 +112,7 @@
             lease_duration: Duration::from_millis(3_500),
             announcement_lifetime: Duration::from_secs(12),
             drain_period: Some(Duration::from_secs(7)),
+            usage_bounds: Default::default(),
             // The agreement mixes the host's number into the seed; equal
             // results would make hosts draw the same election timeouts forever.
             seed: (self.count + 1) * 1_000_003 + u64::from(id.0) * 8_191,
--- a/crates/decisions/tests/usage_caps.rs
+++ b/crates/decisions/tests/usage_caps.rs
@@ -7,7 +7,12 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    routes::UsageCap,
+    control_role::{
+        ControlEffect, ControlEvent, ControlHost, ControlSettings, EntryReport, EntryUpdate,
+        OperatorOrder,
+    },
+    identity::HostId,
+    routes::{RouteTable, TrafficLimits, UsageCap},
     usage::{
         UsageAccount, UsageBounds, UsageBucket, UsageLedger, UsageNeed, UsageShare, UsageStep,
     },
@@ -342,3 +347,63 @@
     ledger.grant(at(40_000), &all);
     assert_eq!(ledger.take_changes(at(40_000)).len(), 20);
 }
+
+/// A control host with itself as the only seed, which is not a leader yet.
+fn lone_control_host(at: Moment) -> ControlHost {
+    let seeds = [HostId(1)].into();
+    let interval = Duration::from_millis(1_200);
+    let settings = ControlSettings::new(HostId(1), seeds, true, interval, None, 5)
+        .with_usage_bounds(UsageBounds::new(Duration::from_secs(5), 0.1, 20));
+    ControlHost::new(settings, [], at)
+}
+
+/// Steps a host and confirms what it writes; returns its updates to entry hosts.
+fn step(host: &mut ControlHost, at: Moment, event: ControlEvent) -> Vec<EntryUpdate> {
+    let mut updates = Vec::new();
+    let mut events = vec![event];
+    while let Some(event) = events.pop() {
+        for effect in host.step(at, event) {
+            match effect {
+                ControlEffect::Persist { number, .. } => {
+                    events.push(ControlEvent::Persisted(number));
+                }
+                ControlEffect::SendEntry(_, update) => updates.push(update),
+                _ => {}
+            }
+        }
+    }
+    updates
+}
+
+/// Only a current leader grants tokens; other control hosts name the leader, as they do
+/// for renewals.
+#[test]
+fn only_leader_grants() {
+    let request = || {
+        let needs = vec![UsageNeed { workspace: Arc::from("hot"), tokens: 3 }];
+        ControlEvent::Entry(HostId(9), EntryReport::UsageRequest { sent_at: Moment::ZERO, needs })
+    };
+    let mut now = Moment::from_millis(1);
+    let mut host = lone_control_host(now);
+    let updates = step(&mut host, now, request());
+    assert_eq!(updates, [EntryUpdate::NotLeader { leader: None }]);
+    while !host.is_current_leader(now) {
+        now = now + Duration::from_millis(10);
+        assert!(now < Moment::from_millis(10_000), "no leader");
+        step(&mut host, now, ControlEvent::Tick);
+    }
+    let table = RouteTable {
+        version: 1,
+        routes: Vec::new(),
+        services: Vec::new(),
+        limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
+        workspaces: Some(vec![rule("hot", 10.0, 2.0)]),
+        source: Arc::from("{}"),
+    };
+    let order = OperatorOrder::ReplaceRoutes { table: Arc::new(table), at_unix_ms: 1 };
+    step(&mut host, now, ControlEvent::OperatorOrdered { ticket: 1, order });
+    let share = UsageShare { workspace: Arc::from("hot"), tokens: 2, retry_after: Duration::ZERO };
+    let (sent_at, lifetime) = (Moment::ZERO, Duration::from_millis(500));
+    let grant = EntryUpdate::UsageGrant { sent_at, lifetime, grants: vec![share] };
+    assert_eq!(step(&mut host, now, request()), [grant]);
+}
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -333,6 +333,9 @@
     vec![
         json!({ "Renew": { "sent_at": 900, "applied": 12, "routes_version": 9, "leaving": true } }),
         json!({ "PrimaryReachable": { "service": "books", "number": 5, "reachable": false } }),
+        json!({ "UsageRequest": {
+            "sent_at": 900, "needs": [{ "workspace": "books", "tokens": 3 }]
+        } }),
     ]
 }
 
@@ -355,6 +358,10 @@
         json!({ "Departed": [departure()] }),
         json!({ "Expired": [departure()] }),
         json!({ "Probe": { "service": "books", "number": 5 } }),
+        json!({ "UsageGrant": { "sent_at": 900, "lifetime": duration(0, 500_000_000), "grants": [
+            { "workspace": "books", "tokens": 3, "retry_after": duration(0, 0) },
+            { "workspace": "tools", "tokens": 0, "retry_after": duration(0, 100_000_000) }
+        ] } }),
     ]
 }
 
