--- a/crates/daemon/src/journal/journal_file.rs
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -1,6 +1,7 @@
 use std::{
-    fs::{self, File, OpenOptions},
+    fs::{self, File, OpenOptions, Permissions},
     io::{self, Write},
+    os::unix::fs::{OpenOptionsExt, PermissionsExt},
     path::{Path, PathBuf},
 };
 
@@ -18,6 +19,9 @@
 const REWRITTEN_FILE_NAME: &str = "journal.new";
 /// Magic bytes at the start of a record.
 const RECORD_MAGIC: [u8; 4] = *b"HSJ1";
+/// Mode of the journal files, which hold the keys of callers: only their owner may
+/// read them.
+const JOURNAL_MODE: u32 = 0o600;
 /// Bytes before a record's body: magic bytes, length, checksum.
 const HEADER_BYTES: usize = 12;
 /// Largest body of a record, in bytes.
@@ -76,7 +80,7 @@
     }
 
     fn open_truncated(path: &Path, length: u64) -> io::Result<File> {
-        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        let file = open_private(OpenOptions::new().create(true).append(true), path)?;
         file.set_len(length)?;
         file.sync_all()?;
         Ok(file)
@@ -124,7 +128,8 @@
             write_record(&mut rewritten, &record)?;
         }
         let new_path = self.folder.join(REWRITTEN_FILE_NAME);
-        let mut file = File::create(&new_path)?;
+        let mut file =
+            open_private(OpenOptions::new().create(true).write(true).truncate(true), &new_path)?;
         file.write_all(&rewritten)?;
         file.sync_all()?;
         let file = OpenOptions::new().append(true).open(&new_path)?;
@@ -135,6 +140,14 @@
     }
 }
 
+/// Opens a file that only its owner may read, also if an earlier release created it
+/// with another mode.
+fn open_private(options: &mut OpenOptions, path: &Path) -> io::Result<File> {
+    let file = options.mode(JOURNAL_MODE).open(path)?;
+    file.set_permissions(Permissions::from_mode(JOURNAL_MODE))?;
+    Ok(file)
+}
+
 /// Keeps the newest hard state, the newest snapshot and the entries after it.
 fn compact_records(records: Vec<JournalRecord>) -> Vec<JournalRecord> {
     let mut hard = None;
--- a/crates/daemon/src/links/frame_link.rs
+++ b/crates/daemon/src/links/frame_link.rs
@@ -100,7 +100,8 @@
             None => Ok(None),
             Some(bytes) => ciborium::from_reader(&*bytes?)
                 .map(Some)
-                .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
+                // The decoder's text is left out, as it may quote a key.
+                .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "cannot decode a frame")),
         }
     }
 }
--- a/crates/decisions/src/routes/packed_routes.rs
+++ b/crates/decisions/src/routes/packed_routes.rs
@@ -47,12 +47,9 @@
         let mut bytes = Vec::new();
         let decoder = DeflateDecoder::new(&*self.packed);
         decoder.take(MAX_UNPACKED_BYTES).read_to_end(&mut bytes)?;
-        ciborium::from_reader(&*bytes).map_err(|error| {
-            io::Error::new(
-                io::ErrorKind::InvalidData,
-                format!("cannot decode packed routes: {error}"),
-            )
-        })
+        // The decoder's text is left out, as it may quote a key.
+        ciborium::from_reader(&*bytes)
+            .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "cannot decode packed routes"))
     }
 
     /// Size of the compressed configuration, in bytes.
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -60,7 +60,9 @@
 
 /// A complete configuration with a version that the operator assigns; the highest
 /// version is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// `Debug` leaves out the operator's text, which holds the keys of callers.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Version that the operator assigned.
     pub version: u64,
@@ -78,6 +80,19 @@
     pub source: Arc<str>,
 }
 
+impl fmt::Debug for RouteTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RouteTable")
+            .field("version", &self.version)
+            .field("routes", &self.routes)
+            .field("services", &self.services)
+            .field("limits", &self.limits)
+            .field("workspaces", &self.workspaces)
+            .field("source_bytes", &self.source.len())
+            .finish()
+    }
+}
+
 impl RouteTable {
     /// Checks that every route can be served.
     ///
--- a/crates/decisions/src/routes/workspace_rule.rs
+++ b/crates/decisions/src/routes/workspace_rule.rs
@@ -6,6 +6,8 @@
 
 /// Thousandths in which caps are counted, so that configurations compare exactly.
 const THOUSANDTHS: f64 = 1_000.0;
+/// Largest cap that is told apart from no cap, so that sums of caps cannot overflow.
+const MAX_COUNTED: f64 = u32::MAX as f64;
 
 /// Limit for the operations of a workspace, over all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,7 +20,7 @@
 
 impl UsageCap {
     /// A cap in operations per second and operations; `None` if one of them is
-    /// negative, not finite or too large to count.
+    /// negative or not finite.
     pub fn new(per_second: f64, burst: f64) -> Option<Self> {
         Some(Self {
             milli_per_second: to_thousandths(per_second)?,
@@ -38,8 +40,12 @@
 }
 
 fn to_thousandths(value: f64) -> Option<u64> {
-    let scaled = value * THOUSANDTHS;
-    (scaled >= 0.0 && scaled <= u32::MAX as f64 * THOUSANDTHS).then_some(scaled.round() as u64)
+    if !value.is_finite() || value < 0.0 {
+        return None;
+    }
+    let scaled = value.min(MAX_COUNTED) * THOUSANDTHS;
+    // A cap above 0 must not become 0, which admits nothing.
+    Some(if value > 0.0 { scaled.round().max(1.0) as u64 } else { 0 })
 }
 
 /// The operator's declaration of one workspace: a group of callers that databases
