Close sessions of removed and moved keys; show workspaces on status pages

Cause: each statement found the workspace of its key anew, so a session whose key moved went on in the other workspace; statements that need no database, and transactions whose route was dropped together with the key, were not checked; idle sessions stayed open; the first statement after BEGIN and statements repeated after BUSY were sent unchecked. After a configuration that could not be unpacked, a later state without one made the lease valid. Change: a session keeps its workspace; a key is checked once for each configuration between statements, and before each statement of a transaction is sent; a removed or moved key gets NOAUTH and ends the session.

--- a/crates/cli/src/commands/text_output.rs
+++ b/crates/cli/src/commands/text_output.rs
@@ -1,4 +1,4 @@
-use hawthornstack_decisions::control_state::AuditRecord;
+use hawthornstack_decisions::{control_state::AuditRecord, routes::UsageCap};
 use hawthornstack_wire::operators::{PlanResponse, StatusResponse};
 
 use crate::console::TextTable;
@@ -36,9 +36,28 @@
         ]);
     }
     text.push_str(&table.render());
+    if !status.workspaces.is_empty() {
+        text.push_str(&format_workspaces(status));
+    }
     text
 }
 
+fn format_workspaces(status: &StatusResponse) -> String {
+    let mut table = TextTable::new(&["WORKSPACE", "KEYS", "PER SECOND", "BURST"]);
+    for workspace in &status.workspaces {
+        let show = |value: fn(UsageCap) -> f64| {
+            workspace.cap.map_or("no limit".to_owned(), |cap| value(cap).to_string())
+        };
+        table.push(vec![
+            workspace.name.to_string(),
+            workspace.keys.to_string(),
+            show(UsageCap::per_second),
+            show(UsageCap::burst),
+        ]);
+    }
+    table.render()
+}
+
 pub(super) fn format_services(status: &StatusResponse) -> String {
     let mut table = TextTable::new(&["SERVICE", "INSTANCES", "DATABASES", "MAX WAITING"]);
     for (name, service) in &status.services {
--- a/crates/daemon/src/control_role/status_page.rs
+++ b/crates/daemon/src/control_role/status_page.rs
@@ -4,8 +4,11 @@
     identity::{DataCentre, DatabaseName, GroupName, HostId, NameError},
     instances::{InstanceRecord, InstanceRole},
     primaries::{ServiceTerm, TermPhase},
+    routes::{RouteTable, WorkspaceRule},
+};
+use hawthornstack_wire::operators::{
+    GroupStatus, HostStatus, MemberStatus, StatusResponse, WorkspaceStatus,
 };
-use hawthornstack_wire::operators::{GroupStatus, HostStatus, MemberStatus, StatusResponse};
 
 use crate::links::host_address;
 
@@ -42,9 +45,20 @@
         services: Vec::new(),
         groups: groups.collect::<Result<_, _>>()?,
         hosts: hosts.collect(),
+        workspaces: control.routes.as_deref().map_or_else(Vec::new, list_workspaces),
     })
 }
 
+fn list_workspaces(table: &RouteTable) -> Vec<WorkspaceStatus> {
+    let rules = table.workspaces.iter().flatten();
+    let to_status = |rule: &WorkspaceRule| WorkspaceStatus {
+        name: rule.name.clone(),
+        keys: rule.keys.len(),
+        cap: rule.cap,
+    };
+    rules.map(to_status).collect()
+}
+
 fn build_group_status(
     control_host: &ControlHost,
     term: &ServiceTerm,
--- a/crates/daemon/src/entry_role/caller_admission.rs
+++ b/crates/daemon/src/entry_role/caller_admission.rs
@@ -27,25 +27,26 @@
 
 impl StatementCaller {
     /// Finds the workspace of the caller's key, and waits until `deadline` for a lease
-    /// that proves that the key is still valid.
+    /// that proves that the key is still valid. `route` is `None` if the configuration
+    /// has dropped it.
     pub(super) async fn admit(
         &mut self,
         shared: &EntryShared,
-        route: &RouteRule,
+        route: Option<&RouteRule>,
         deadline: Instant,
     ) -> Result<(), AssignError> {
         loop {
             let changed = shared.changed.notified();
-            self.workspace = match self.access(shared, route, shared.now()) {
-                CallerAccess::Open => None,
-                CallerAccess::Member(workspace) => Some(workspace),
+            match self.access(shared, route, shared.now()) {
+                CallerAccess::Open => self.workspace = None,
+                CallerAccess::Member(workspace) => self.workspace = Some(workspace),
                 CallerAccess::Refused => return Err(AssignError::UnknownKey),
                 CallerAccess::CutOff => return Err(AssignError::CutOff),
                 CallerAccess::Unproven => match timeout_at(deadline, changed).await {
                     Ok(()) => continue,
                     Err(_) => return Err(AssignError::NoLease),
                 },
-            };
+            }
             return Ok(());
         }
     }
@@ -57,20 +58,27 @@
         route: &RouteRule,
         now: Moment,
     ) -> AdmissionCheck {
-        match (self.access(shared, route, now), &self.workspace) {
-            (CallerAccess::Open, _) => AdmissionCheck::Valid,
-            (CallerAccess::Member(current), Some(admitted)) if current == *admitted => {
-                AdmissionCheck::Valid
-            }
+        match (self.access(shared, Some(route), now), &self.workspace) {
+            (CallerAccess::Open, _) | (CallerAccess::Member(_), Some(_)) => AdmissionCheck::Valid,
             (CallerAccess::Unproven, _) => AdmissionCheck::Wait,
             (CallerAccess::CutOff, _) => AdmissionCheck::Refuse(AssignError::CutOff),
-            (CallerAccess::Member(_) | CallerAccess::Refused, _) => {
+            // A statement that was admitted without a workspace waits for a connection
+            // of none.
+            (CallerAccess::Member(_), None) | (CallerAccess::Refused, _) => {
                 AdmissionCheck::Refuse(AssignError::UnknownKey)
             }
         }
     }
 
-    fn access(&self, shared: &EntryShared, route: &RouteRule, now: Moment) -> CallerAccess {
-        shared.view.borrow().caller_access(now, route, self.key.as_ref())
+    /// The caller's access now, given the workspace to which it was admitted last.
+    pub(super) fn access(
+        &self,
+        shared: &EntryShared,
+        route: Option<&RouteRule>,
+        now: Moment,
+    ) -> CallerAccess {
+        let view = shared.view.borrow();
+        let access = view.caller_access(now, route, self.key.as_ref());
+        access.of_member(self.workspace.as_ref())
     }
 }
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -69,11 +69,13 @@
 /// One caller's session.
 pub(super) struct CallerSession {
     pub(super) shared: Rc<EntryShared>,
-    database: Arc<str>,
+    pub(super) database: Arc<str>,
     pub(super) caller: StatementCaller,
     /// The caller's key is no longer valid: the session ends with the reply that says
     /// so.
     pub(super) key_removed: bool,
+    /// Version of the configuration that last proved the key to be valid.
+    pub(super) checked_version: u64,
     pub(super) state: SessionState,
     pub(super) pinned: Option<AssignedConnection>,
     /// True if the pinned transaction has written.
@@ -95,6 +97,7 @@
             database,
             caller: StatementCaller::default(),
             key_removed: false,
+            checked_version: 0,
             state: SessionState::default(),
             pinned: None,
             wrote: false,
@@ -137,6 +140,9 @@
 
     /// Runs one statement, or answers it here if it needs no database.
     pub(super) async fn run(&mut self, statement: &CallerStatement) -> CallerReply {
+        if self.must_end() {
+            return self.refuse_caller(AssignError::UnknownKey, statement);
+        }
         let failed = self.state.transaction == TransactionPhase::Failed;
         match &statement.action {
             StatementAction::Rollback => {
@@ -184,12 +190,17 @@
         CallerReply::Done
     }
 
-    async fn run_at_database(&mut self, statement: &CallerStatement) -> CallerReply {
-        let mut trace = RequestTrace::new(&statement.id, self.shared.now());
-        let route = match &self.forwarded_route {
+    /// Route of the next statement; `None` if the configuration has none for it.
+    pub(super) fn route(&self) -> Option<Arc<RouteRule>> {
+        match &self.forwarded_route {
             Some(route) => Some(route.clone()),
             None => self.shared.view.borrow().route(&self.database),
-        };
+        }
+    }
+
+    async fn run_at_database(&mut self, statement: &CallerStatement) -> CallerReply {
+        let mut trace = RequestTrace::new(&statement.id, self.shared.now());
+        let route = self.route();
         let reply = self.run_traced(statement, route.as_deref(), &mut trace).await;
         self.finish_trace(trace, statement, route.as_deref(), &reply);
         reply
@@ -236,10 +247,8 @@
     ) -> CallerReply {
         let timeout = route.map_or(ROLLBACK_TIMEOUT, |route| route.timeout);
         let deadline = Instant::now() + timeout;
-        if let Some(route) = route
-            && let Err(error) = self.admit_caller(route, deadline).await
-        {
-            return self.refuse_caller(error);
+        if let Err(error) = self.admit_caller(route, deadline).await {
+            return self.refuse_caller(error, statement);
         }
         if let Some(connection) = self.pinned.take() {
             return self.run_pinned(connection, statement, deadline, trace).await;
@@ -258,41 +267,6 @@
         }
     }
 
-    /// Admits the caller for a statement, unless the host that forwarded it did.
-    async fn admit_caller(
-        &mut self,
-        route: &RouteRule,
-        deadline: Instant,
-    ) -> Result<(), AssignError> {
-        if self.forwarded_route.is_some() {
-            return Ok(());
-        }
-        let deadline = deadline - route.timeout / 2;
-        self.caller.admit(&self.shared, route, deadline).await
-    }
-
-    /// Ends an open transaction of a caller that may not use its route now.
-    fn refuse_caller(&mut self, error: AssignError) -> CallerReply {
-        let in_transaction = self.pinned.is_some();
-        self.roll_back();
-        self.state.transaction = match self.is_idle() || error == AssignError::UnknownKey {
-            true => TransactionPhase::Idle,
-            false => TransactionPhase::Failed,
-        };
-        match self.refuse_unassigned(error) {
-            CallerReply::Refused(CallerRefusal::NotRun, hint) if in_transaction => {
-                CallerReply::Refused(CallerRefusal::Aborted, hint)
-            }
-            reply => reply,
-        }
-    }
-
-    /// The refusal of a statement that was assigned no connection.
-    pub(super) fn refuse_unassigned(&mut self, error: AssignError) -> CallerReply {
-        self.key_removed |= error == AssignError::UnknownKey;
-        refuse_unassigned(error)
-    }
-
     /// True if the statement, or the prepared statement that it executes, writes.
     pub(super) fn is_write(&self, statement: &CallerStatement) -> bool {
         match &statement.action {
@@ -481,7 +455,7 @@
     CallerReply::Refused(CallerRefusal::UnknownStatement, "no statement has this name")
 }
 
-fn refuse_unassigned(error: AssignError) -> CallerReply {
+pub(super) fn refuse_unassigned(error: AssignError) -> CallerReply {
     let hint = match error {
         AssignError::UnknownKey => {
             let hint = "no workspace has this key";
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -57,6 +57,10 @@
     leader: Option<HostId>,
     events: mpsc::UnboundedSender<LinkEvent>,
     confirmations: StateConfirmations,
+    /// A configuration could not be unpacked: states without one are not applied until
+    /// it comes again, since leases would then prove a configuration that this host
+    /// lacks.
+    lacks_routes: bool,
 }
 
 impl ControlLinks {
@@ -73,6 +77,7 @@
             leader: None,
             events,
             confirmations: StateConfirmations::default(),
+            lacks_routes: false,
         };
         links.dial_all(&seeds);
         let mut renew_at = Instant::now();
@@ -171,9 +176,14 @@
                             %error,
                             "failed to unpack the configuration; the next renewal requests it again"
                         );
+                        self.lacks_routes = true;
                         return;
                     }
                 };
+                self.lacks_routes &= routes.is_none();
+                if self.lacks_routes {
+                    return;
+                }
                 let planned = find_newly_planned(&shared, &terms);
                 let newer = shared.view.borrow_mut().apply_state(index, routes, terms);
                 if newer {
--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -20,6 +20,7 @@
     EntrySettings,
     database_pool::DatabasePool,
     pool_target::{PoolKey, PoolTarget, TargetKey},
+    refused_keys::RefusedKeys,
     request_trace::TraceBudget,
 };
 use crate::{
@@ -79,6 +80,7 @@
     pub(super) tasks: TaskTracker,
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
+    pub(super) refused_keys: RefusedKeys,
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Paths to services, for statements without a workspace and of each workspace.
     paths: RefCell<HashMap<PathKey, KnownPath>>,
@@ -114,6 +116,7 @@
             tasks: TaskTracker::new(),
             metrics,
             traces: TraceBudget::default(),
+            refused_keys: RefusedKeys::default(),
             pools: RefCell::new(HashMap::new()),
             paths: RefCell::new(HashMap::new()),
             avoided_gateways: RefCell::new(HashMap::new()),
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -22,6 +22,15 @@
 /// Time that sent data may stay unacknowledged before a caller counts as gone.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What a session does next.
+enum SessionStep {
+    Message(Bytes),
+    /// The caller's key was removed or moved to another workspace.
+    RefuseKey,
+    /// The caller is gone, or this host's shutdown closes the session.
+    Close,
+}
+
 /// Serves one caller until it disconnects or the host closes its session.
 pub(super) async fn serve_caller(shared: Rc<EntryShared>, stream: TcpStream) {
     if prepare_socket(&stream, CALLER_ACK_TIMEOUT).is_err() {
@@ -43,8 +52,19 @@
     };
     shared.callers.encode_ready(&mut out, SessionPhase::Idle, None);
     lines.send(&out).await?;
-    while let Some(line) = read_message(shared, lines, &mut session).await? {
+    loop {
+        let step = read_message(shared, lines, &mut session).await?;
         out.clear();
+        let line = match step {
+            SessionStep::Message(line) => line,
+            SessionStep::RefuseKey => {
+                // The caller reads it as the answer to its next statement.
+                let reply = session.end();
+                encode_refused(shared, &mut out, reply);
+                return lines.send(&out).await;
+            }
+            SessionStep::Close => return Ok(()),
+        };
         match shared.callers.decode_request(&line) {
             Ok(CallerRequest::Terminate) => return Ok(()),
             Ok(CallerRequest::Statement(statement)) => {
@@ -62,7 +82,6 @@
         }
         lines.shrink();
     }
-    Ok(())
 }
 
 /// Reads the connect request and opens the session that it asks for.
@@ -105,17 +124,23 @@
     let mut session = CallerSession::new(shared, database, opened);
     session.caller.key = key;
     let deadline = Instant::now() + ROUTES_TIMEOUT;
-    match session.caller.admit(shared, &route, deadline).await {
+    match session.caller.admit(shared, Some(&route), deadline).await {
         Ok(()) => Ok(Some(session)),
         Err(error) => {
-            if let CallerReply::Refused(refusal, hint) = session.refuse_unassigned(error) {
-                shared.callers.encode_refusal(out, refusal, hint);
-            }
+            let reply = session.refuse_unassigned(error);
+            encode_refused(shared, out, reply);
             Ok(None)
         }
     }
 }
 
+/// Appends a refusal that ends the session.
+fn encode_refused(shared: &EntryShared, out: &mut Vec<u8>, reply: CallerReply) {
+    if let CallerReply::Refused(refusal, hint) = reply {
+        shared.callers.encode_refusal(out, refusal, hint);
+    }
+}
+
 /// Waits for a configuration, which may be missing shortly after the start of the
 /// host; false if there is none within `ROUTES_TIMEOUT`.
 async fn wait_for_routes(shared: &EntryShared) -> bool {
@@ -130,17 +155,21 @@
 }
 
 /// Reads the caller's next message, and rolls back its transaction if that comes
-/// too late; `None` if the session is over.
+/// too late.
 async fn read_message(
     shared: &Rc<EntryShared>,
     lines: &mut LineStream,
     session: &mut CallerSession,
-) -> io::Result<Option<Bytes>> {
+) -> io::Result<SessionStep> {
+    let to_step = |line: Option<Bytes>| line.map_or(SessionStep::Close, SessionStep::Message);
     let mut idle_until = session.idle_limit().map(|limit| Instant::now() + limit);
     loop {
         let changed = shared.changed.notified();
         if shared.should_close_session(session.is_idle()) {
-            return Ok(lines.take_buffered_line());
+            return Ok(to_step(lines.take_buffered_line()));
+        }
+        if session.must_end() {
+            return Ok(SessionStep::RefuseKey);
         }
         let idle = async {
             match idle_until {
@@ -150,7 +179,7 @@
         };
         tokio::select! {
             biased;
-            line = lines.next_line() => return line,
+            line = lines.next_line() => return line.map(to_step),
             () = idle => {
                 session.end_idle_transaction();
                 idle_until = None;
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -162,6 +162,12 @@
         let commits = statement.action == StatementAction::Commit;
         let writes = self.is_write(statement);
         loop {
+            // BEGIN or a refusal as busy may have taken long.
+            let route = self.route();
+            if let Err(error) = self.admit_caller(route.as_deref(), deadline).await {
+                self.pinned = Some(connection);
+                return self.refuse_caller(error, statement);
+            }
             let mut out = Vec::with_capacity(statement.text.len() + 64);
             let Some(link) = connection.pooled.link() else {
                 return self.abort_transaction("the connection is gone");
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,13 +7,14 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 17] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 18] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
     ("hawthornstack_retries", "attempts that were repeated, by reason"),
     ("hawthornstack_refusals", "statements refused by this host, by reason"),
     ("hawthornstack_reads", "reads sent to a database, by its role"),
+    ("hawthornstack_keys_refused", "callers refused for their key, by state of the key"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
     ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
     ("hawthornstack_queued_statements", "statements that wait for a connection, by database"),
@@ -42,6 +43,7 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     reads: Counter<u64>,
+    keys_refused: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     gauges: Vec<(&'static str, Gauge<f64>)>,
 }
@@ -104,6 +106,7 @@
             retries: counter(&meter, "hawthornstack_retries"),
             refusals: counter(&meter, "hawthornstack_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
+            keys_refused: counter(&meter, "hawthornstack_keys_refused"),
             log_lines_left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
             registry,
@@ -138,6 +141,13 @@
         self.reads.add(1, &[KeyValue::new("role", role)]);
     }
 
+    /// Counts a caller that was refused for its key; `removed` if the key was valid
+    /// when the session began.
+    pub fn count_refused_key(&self, removed: bool) {
+        let state = if removed { "removed" } else { "unknown" };
+        self.keys_refused.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Counts log lines that were not written.
     pub fn count_left_out(&self, kind: &'static str, lines: u64) {
         self.log_lines_left_out.add(lines, &[KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/pg_host/status_response.rs
+++ b/crates/daemon/src/pg_host/status_response.rs
@@ -34,6 +34,7 @@
                 draining: record.draining,
             })
             .collect(),
+        workspaces: Vec::new(),
     }
 }
 
--- a/crates/decisions/src/entry_role/caller_access.rs
+++ b/crates/decisions/src/entry_role/caller_access.rs
@@ -18,6 +18,17 @@
     Refused,
 }
 
+impl CallerAccess {
+    /// The access of a session that was admitted to a workspace: a key that moved to
+    /// another one since is refused like a removed key.
+    pub fn of_member(self, admitted: Option<&Arc<str>>) -> Self {
+        match (self, admitted) {
+            (Self::Member(current), Some(admitted)) if current != *admitted => Self::Refused,
+            (access, _) => access,
+        }
+    }
+}
+
 /// Workspaces by the keys of their callers.
 #[derive(Debug, Default)]
 pub struct KeyTable {
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -286,17 +286,19 @@
         self.routes_by_database.get(database).cloned()
     }
 
-    /// Whether a caller with this key may use a route now.
+    /// Whether a caller with this key may use a route now; without a route, whether it
+    /// may use one that needs a key.
     ///
     /// A lease names the newest committed configuration, which must be applied here.
     /// So a host with a lease knows of every key that was removed a lease's length ago.
     pub fn caller_access(
         &self,
         now: Moment,
-        route: &RouteRule,
+        route: Option<&RouteRule>,
         key: Option<&CallerKey>,
     ) -> CallerAccess {
-        let Some(keys) = self.keys.as_ref().filter(|_| !route.anonymous) else {
+        let needs_key = route.is_none_or(|route| !route.anonymous);
+        let Some(keys) = self.keys.as_ref().filter(|_| needs_key) else {
             return CallerAccess::Open;
         };
         if !self.has_lease(now) {
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -66,6 +66,8 @@
     pub cut_links: BTreeSet<(HostId, HostId)>,
     pub answers: BTreeMap<u64, OrderAnswer>,
     pub updates: Vec<(HostId, EntryUpdate)>,
+    /// Control hosts that sent the updates, in the same order.
+    pub update_senders: Vec<HostId>,
     pub promoted: Vec<(Moment, HostId, InstanceKey, u64)>,
     pub instances: BTreeMap<Arc<str>, InstanceRecord>,
     /// Terms that databases lead or follow, 1 unless listed.
@@ -87,6 +89,7 @@
             cut_links: BTreeSet::new(),
             answers: BTreeMap::new(),
             updates: Vec::new(),
+            update_senders: Vec::new(),
             promoted: Vec::new(),
             instances: BTreeMap::new(),
             database_terms: BTreeMap::new(),
@@ -369,7 +372,10 @@
                     self.send(id, to, ControlEvent::Peer(id, message));
                 }
             }
-            ControlEffect::SendEntry(to, update) => self.updates.push((to, update)),
+            ControlEffect::SendEntry(to, update) => {
+                self.updates.push((to, update));
+                self.update_senders.push(id);
+            }
             ControlEffect::Persist { number, records } => {
                 let now = self.now;
                 let Some(host) = self.hosts.get_mut(&id) else {
--- a/crates/wire/src/operators/messages.rs
+++ b/crates/wire/src/operators/messages.rs
@@ -3,6 +3,7 @@
 use hawthornstack_decisions::{
     control_state::{Intent, PlannedChange, ServiceDeclaration},
     identity::{DataCentre, DatabaseName, GroupName, HostId},
+    routes::UsageCap,
 };
 use serde::{Deserialize, Serialize};
 
@@ -116,6 +117,18 @@
     pub draining: bool,
 }
 
+/// Status of one workspace of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkspaceStatus {
+    /// Name of the workspace.
+    pub name: Arc<str>,
+    /// Number of its keys.
+    pub keys: usize,
+    /// Limit for its operations; `None` if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap: Option<UsageCap>,
+}
+
 /// State of the system as seen by the answering host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusResponse {
@@ -137,4 +150,7 @@
     pub groups: Vec<GroupStatus>,
     /// All hosts.
     pub hosts: Vec<HostStatus>,
+    /// Workspaces of the configuration, without their keys.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<WorkspaceStatus>,
 }
--- a/crates/wire/src/operators/mod.rs
+++ b/crates/wire/src/operators/mod.rs
@@ -5,7 +5,7 @@
 
 pub use messages::{
     ConfirmRequest, ConfirmResponse, ErrorResponse, GroupStatus, HostStatus, MemberStatus,
-    PlanRequest, PlanResponse, StatusResponse,
+    PlanRequest, PlanResponse, StatusResponse, WorkspaceStatus,
 };
 
 /// `POST`: announcement of a database.
