--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -23,6 +23,7 @@
     EntrySettings,
     database_pool::DatabasePool,
     pool_target::{PoolKey, PoolTarget, TargetKey},
+    refused_keys::RefusedKeys,
     request_trace::TraceBudget,
     usage_gate::UsageGate,
 };
@@ -79,6 +80,7 @@
     pub(super) metrics: HostMetrics,
     pub(super) traces: TraceBudget,
     pub(super) usage: UsageGate,
+    pub(super) refused_keys: RefusedKeys,
     pools: RefCell<HashMap<PoolKey, Rc<DatabasePool>>>,
     /// Paths to services, for statements without a workspace and of each workspace.
     paths: RefCell<HashMap<PathKey, KnownPath>>,
@@ -116,6 +118,7 @@
             metrics,
             traces: TraceBudget::default(),
             usage: UsageGate::default(),
+            refused_keys: RefusedKeys::default(),
             pools: RefCell::new(HashMap::new()),
             paths: RefCell::new(HashMap::new()),
             avoided_gateways: RefCell::new(HashMap::new()),
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,7 +7,7 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 20] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 21] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
@@ -15,6 +15,7 @@
     ("hawthornstack_refusals", "statements refused by this host, by reason"),
     ("hawthornstack_usage_refusals", "operations refused for lack of a token of their workspace"),
     ("hawthornstack_reads", "reads sent to a database, by its role"),
+    ("hawthornstack_keys_refused", "callers refused for their key, by state of the key"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
     ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
     (
@@ -53,6 +54,7 @@
     usage_refusals: Counter<u64>,
     reads: Counter<u64>,
     connections_replaced: Counter<u64>,
+    keys_refused: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     gauges: Vec<(&'static str, Gauge<f64>)>,
 }
@@ -118,6 +120,7 @@
             usage_refusals: counter(&meter, "hawthornstack_usage_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
             connections_replaced: counter(&meter, "hawthornstack_connections_replaced"),
+            keys_refused: counter(&meter, "hawthornstack_keys_refused"),
             log_lines_left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
             registry,
@@ -162,6 +165,13 @@
         self.connections_replaced.add(1, &[]);
     }
 
+    /// Counts a caller that was refused for its key; `removed` if the key was valid
+    /// when the session began.
+    pub fn count_refused_key(&self, removed: bool) {
+        let state = if removed { "removed" } else { "unknown" };
+        self.keys_refused.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Counts log lines that were not written.
     pub fn count_left_out(&self, kind: &'static str, lines: u64) {
         self.log_lines_left_out.add(lines, &[KeyValue::new("kind", kind)]);
