--- a/crates/daemon/tests/outer_texts.rs
+++ b/crates/daemon/tests/outer_texts.rs
@@ -80,6 +80,7 @@
     metrics.count_refusal("some reason");
     metrics.count_read(true);
     metrics.count_read(false);
+    metrics.count_replaced();
     metrics.count_left_out("some kind", 3);
     for (name, _) in HOST_METRIC_NAMES {
         // `set` ignores the names of counters and histograms.
