Order statements of several priorities in a pool's window, queue and refusals

Cause: a host's window at a database grows until the database refuses, so an urgent statement that is sent waits behind the database's queue of less urgent ones; what waits in the pool waits until its connect deadline even if it cannot be served before.

Change, pure code only, nothing calls it yet: `ResponseTrend` compares the recent response time of each priority with its lowest usual one; the window shrinks by a tenth when it is more than 3 times that, and leaves a place to the most urgent priority. `QueueTurns` gives one place in eight to the oldest statement and, within a priority, prefers the workspace with the least recent work. `forecast_wait` refuses what cannot be served, with a retry-after time. All of it is inactive for services whose routes have one priority (`EntryView::urgent_priority`).

--- /dev/null
+++ b/crates/decisions/src/entry_role/early_refusal.rs
@@ -0,0 +1,78 @@
+use std::time::Duration;
+
+use super::RankedStatement;
+use crate::clock::Moment;
+
+/// Percentage of the time left that the expected wait must exceed: a refusal costs the
+/// caller a retry, while the estimate may be wrong by a third.
+const MARGIN_PERCENT: u32 = 150;
+/// The jitter of the retry-after time is less than its time divided by this number.
+const JITTER_DIVISOR: u64 = 4;
+/// Number of steps of the jitter.
+const JITTER_STEPS: u64 = 1_000;
+
+/// Whether a statement can get a place before its connect deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueForecast {
+    /// It may wait.
+    Wait,
+    /// It cannot: the caller should try again after this time.
+    Refuse {
+        /// Time to drain what is ahead, with jitter of up to a quarter.
+        retry_after: Duration,
+    },
+}
+
+/// Forecasts whether a statement gets one of `window` places within `time_left`, beside
+/// the other ones that wait, in order of arrival. A place is taken for about
+/// `response_time`. `spread` is any number that differs between statements.
+pub fn forecast_wait(
+    others: impl Iterator<Item = RankedStatement> + Clone,
+    ranked: &RankedStatement,
+    now: Moment,
+    window: usize,
+    response_time: Duration,
+    time_left: Duration,
+    spread: u64,
+) -> QueueForecast {
+    let ahead = count_ahead(others, ranked, now);
+    let drain = response_time * ahead / window.max(1) as u32;
+    if drain * 100 <= time_left * MARGIN_PERCENT {
+        return QueueForecast::Wait;
+    }
+    let drain_us = drain.as_micros() as u64;
+    let jitter_us = drain_us / JITTER_DIVISOR * (spread % JITTER_STEPS) / JITTER_STEPS;
+    QueueForecast::Refuse { retry_after: drain + Duration::from_micros(jitter_us) }
+}
+
+/// Statements of the same or a higher priority that go first, as `next_in_queue` orders
+/// them. Less urgent ones never count,
+/// nor those of workspaces with more recent work, which wait for the others.
+fn count_ahead(
+    others: impl Iterator<Item = RankedStatement> + Clone,
+    ranked: &RankedStatement,
+    now: Moment,
+) -> u32 {
+    let statement = &ranked.statement;
+    let is_in_time =
+        |other: &RankedStatement| other.statement.can_meet_objective(now, Duration::ZERO);
+    let peers = || others.clone().filter(|other| other.statement.priority == statement.priority);
+    let waits_in_time = is_in_time(ranked);
+    let oldest = peers().filter(is_in_time).map(|other| other.statement.arrived).min();
+    let has_backlog = oldest.is_some_and(|at| now.since(at) * 2 > statement.objective);
+    let goes_first = |other: &RankedStatement| match (is_in_time(other), waits_in_time) {
+        (true, false) => true,
+        (false, true) => false,
+        (true, true) if other.recent_work != ranked.recent_work => {
+            other.recent_work < ranked.recent_work
+        }
+        (true, true) if !has_backlog => other.statement.arrived <= statement.arrived,
+        // Of a backlog, and of late statements, the newest goes first.
+        _ => other.statement.arrived > statement.arrived,
+    };
+    let urgent = others
+        .clone()
+        .filter(|other| other.statement.priority < statement.priority)
+        .filter(|other| is_in_time(other) || !waits_in_time);
+    (urgent.count() + peers().filter(goes_first).count()) as u32
+}
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -98,6 +98,8 @@
     routes_by_database: HashMap<Arc<str>, Arc<RouteRule>>,
     /// Keys of the configuration in force; `None` if callers need none.
     keys: Option<KeyTable>,
+    /// Most urgent priority of the services whose routes have several.
+    urgent_priorities: BTreeMap<Arc<str>, u32>,
     terms: BTreeMap<Arc<str>, ServiceTerm>,
     /// Number of each service's last term in which this host accepts no more answers.
     surrendered_terms: BTreeMap<Arc<str>, u64>,
@@ -123,6 +125,7 @@
             routes: None,
             routes_by_database: HashMap::new(),
             keys: None,
+            urgent_priorities: BTreeMap::new(),
             terms: BTreeMap::new(),
             surrendered_terms: BTreeMap::new(),
             sampled_positions: BTreeMap::new(),
@@ -152,6 +155,7 @@
                 .map(|route| (route.database.clone(), Arc::new(route.clone())))
                 .collect();
             self.keys = table.workspaces.as_deref().map(KeyTable::new);
+            self.urgent_priorities = table.urgent_priorities();
             self.routes = Some(table);
         }
         if index <= self.applied {
@@ -281,6 +285,11 @@
         self.routes.as_ref()?.service(service)
     }
 
+    /// The most urgent priority of a service; `None` if its routes all have the same.
+    pub fn urgent_priority(&self, service: &str) -> Option<u32> {
+        self.urgent_priorities.get(service).copied()
+    }
+
     /// The route of a database name.
     pub fn route(&self, database: &str) -> Option<Arc<RouteRule>> {
         self.routes_by_database.get(database).cloned()
--- a/crates/decisions/src/entry_role/inflight_window.rs
+++ b/crates/decisions/src/entry_role/inflight_window.rs
@@ -1,5 +1,11 @@
 /// Factor applied to the window when the database refuses a statement.
 const SHRINK_FACTOR: f64 = 0.7;
+/// Factor applied to the window when the database answers far slower than usual. It is
+/// applied again and again until the database's queue is short.
+const SLOW_SHRINK_FACTOR: f64 = 0.9;
+/// Size down to which the window shrinks for slow answers. A window of 2 lets one less
+/// urgent statement run, as one of 1 does, but also leaves a place to urgent ones.
+const SLOW_MIN_SIZE: f64 = 2.0;
 
 /// Limit on the statements that a host has in flight at one database.
 ///
@@ -44,6 +50,16 @@
         }
     }
 
+    /// Records an answer that shows that statements wait in the database's queue. The
+    /// window shrinks at most once for each window of answers.
+    pub fn record_slow_answer(&mut self) {
+        self.answered_since_shrink = self.answered_since_shrink.saturating_add(1);
+        if self.answered_since_shrink >= self.limit() as u32 {
+            self.size = (self.size * SLOW_SHRINK_FACTOR).max(SLOW_MIN_SIZE.min(self.size));
+            self.answered_since_shrink = 0;
+        }
+    }
+
     /// Records that the database refused a statement because its queue was full.
     /// Refusals of statements sent before the last shrink do not shrink the window
     /// again.
--- a/crates/decisions/src/entry_role/mod.rs
+++ b/crates/decisions/src/entry_role/mod.rs
@@ -3,24 +3,34 @@
 
 mod caller_access;
 mod connection_state;
+mod early_refusal;
 mod entry_view;
 mod gateway_load;
 mod gateway_map;
 mod inflight_window;
 mod instance_load;
+mod pool_priorities;
 mod queue_order;
+mod queue_turns;
+mod response_trend;
 mod sampled_positions;
 mod session_state;
 mod state_confirmations;
+mod workspace_work;
 
 pub use caller_access::{CallerAccess, KeyTable};
 pub use connection_state::{ConnectionState, RestoreStep};
+pub use early_refusal::{QueueForecast, forecast_wait};
 pub use entry_view::{EntryView, PathInputs, PrimaryAvailability, ReadRequirement, ReadTarget};
 pub use gateway_load::{GatewayLoad, choose_gateway};
 pub use gateway_map::{DataCentreHosts, DatabasePath, GatewayMap};
 pub use inflight_window::InflightWindow;
 pub use instance_load::{InstanceLoad, LoadTable};
+pub use pool_priorities::{PoolPriorities, may_end_idle};
 pub use queue_order::{QueuedStatement, next_in_queue};
+pub use queue_turns::{QueueTurns, RankedStatement};
+pub use response_trend::ResponseTrend;
 pub use sampled_positions::SampledPositions;
 pub use session_state::{PreparedStatement, SessionState, TransactionPhase};
 pub use state_confirmations::StateConfirmations;
+pub use workspace_work::WorkspaceWork;
--- a/crates/decisions/src/entry_role/queue_order.rs
+++ b/crates/decisions/src/entry_role/queue_order.rs
@@ -14,7 +14,7 @@
 }
 
 impl QueuedStatement {
-    fn can_meet_objective(&self, now: Moment, expected: Duration) -> bool {
+    pub(super) fn can_meet_objective(&self, now: Moment, expected: Duration) -> bool {
         now.since(self.arrived) + expected <= self.objective
     }
 }
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -79,6 +82,16 @@
 }
 
 impl RouteTable {
+    /// The most urgent priority of each service whose routes have several priorities.
+    pub fn urgent_priorities(&self) -> BTreeMap<Arc<str>, u32> {
+        let mut priorities: BTreeMap<Arc<str>, BTreeSet<u32>> = BTreeMap::new();
+        for route in &self.routes {
+            priorities.entry(route.service.clone()).or_default().insert(route.priority);
+        }
+        priorities.retain(|_, priorities| priorities.len() > 1);
+        priorities.into_iter().filter_map(|(service, all)| Some((service, *all.first()?))).collect()
+    }
+
     /// Checks that every route can be served.
     ///
     /// # Errors
