Apply priorities under overload in pools, gateways and idle transactions

Change: direct pools of services with several priorities use the window, the queue order and the forecast. A statement that cannot be served is refused with BUSY and the time after which to try again, at its arrival and, for own callers, each 100 ms; a read first tries the other databases. Gateways refuse forwarded statements in the same way at once; a host that two gateways refused asks further ones at most each 250 ms. An idle transaction may end from half of its limit while a statement of the same or a higher priority gets no connection. Early refusals are counted, and logged once for each time of refusals.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -12,10 +12,11 @@
     caller_admission::StatementCaller,
     entry_shared::EntryShared,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
+    retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
         AssignError, AssignedConnection, ROLLBACK_TIMEOUT, assign_connection, encode_statement,
-        pause_before_retry, run_exchange,
+        has_priorities, run_exchange,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
@@ -34,6 +35,11 @@
     },
     /// Refused by this host, with a hint for the caller.
     Refused(CallerRefusal, &'static str),
+    /// Not run, since no connection will be free in time.
+    Overloaded {
+        /// Time after which the caller should try again.
+        retry_after: Duration,
+    },
 }
 
 /// Outcome of one attempt at a database.
@@ -44,32 +50,10 @@
     Retry,
 }
 
-/// Whether a statement is tried again after a database refused it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RetryDecision {
-    /// No retry: the caller gets the database's answer.
-    Final,
-    /// Retry immediately, at another database.
-    AtOnce,
-    /// Retry after a pause, if there is time for one.
-    AfterPause,
-}
-
-impl RetryDecision {
-    /// Pauses if the decision asks for it; true if another attempt may be made.
-    pub(super) async fn wait_for_retry(self, shared: &EntryShared, deadline: Instant) -> bool {
-        match self {
-            Self::Final => false,
-            Self::AtOnce => true,
-            Self::AfterPause => pause_before_retry(shared, deadline).await,
-        }
-    }
-}
-
 /// One caller's session.
 pub(super) struct CallerSession {
     pub(super) shared: Rc<EntryShared>,
-    database: Arc<str>,
+    pub(super) database: Arc<str>,
     pub(super) caller: StatementCaller,
     /// The caller's key is no longer valid: the session ends with the reply that says
     /// so.
@@ -209,6 +193,10 @@
                 self.shared.metrics.count_refusal(refusal.name());
                 (refusal.name(), *hint)
             }
+            CallerReply::Overloaded { .. } => {
+                self.shared.metrics.count_refusal(CallerRefusal::NotRun.name());
+                (CallerRefusal::NotRun.name(), "the database is overloaded")
+            }
         };
         let now = self.shared.now();
         let view = self.shared.view.borrow();
@@ -422,6 +410,12 @@
             return RetryDecision::Final;
         };
         match code {
+            UpstreamCode::Busy
+                if connection.pooled.gateway().is_some()
+                    && has_priorities(&self.shared, &connection.service) =>
+            {
+                tried.pace_gateway_retry(Instant::now())
+            }
             UpstreamCode::Busy | UpstreamCode::UnknownStatement | UpstreamCode::ReadOnly => {
                 RetryDecision::AfterPause
             }
@@ -487,6 +481,7 @@
             let hint = "no workspace has this key";
             return CallerReply::Refused(CallerRefusal::UnknownKey, hint);
         }
+        AssignError::Overloaded { retry_after } => return CallerReply::Overloaded { retry_after },
         AssignError::NoLease => "this host has no lease; try again in 500 ms",
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
--- a/crates/daemon/src/entry_role/database_pool.rs
+++ b/crates/daemon/src/entry_role/database_pool.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
-    entry_role::{InflightWindow, QueuedStatement, next_in_queue},
+    entry_role::{InflightWindow, QueuedStatement},
     identity::HostId,
     positions::LogPosition,
 };
@@ -13,6 +13,7 @@
 
 use super::{
     entry_shared::EntryShared,
+    pool_overload::PoolOverload,
     pool_target::PoolTarget,
     upstream_link::{OpenError, UpstreamLink},
 };
@@ -49,38 +50,39 @@
 }
 
 #[derive(Debug)]
-enum PoolOffer {
+pub(super) enum PoolOffer {
     Link(Box<UpstreamLink>),
     /// The waiter should try again to take or open a connection.
     Retry,
 }
 
 #[derive(Debug)]
-struct PoolWaiter {
-    statement: QueuedStatement,
+pub(super) struct PoolWaiter {
+    pub(super) statement: QueuedStatement,
     /// Workspace to which its connection must belong.
-    workspace: Option<Arc<str>>,
-    offer: oneshot::Sender<PoolOffer>,
+    pub(super) workspace: Option<Arc<str>>,
+    pub(super) offer: oneshot::Sender<PoolOffer>,
 }
 
 #[derive(Debug)]
-struct PoolState {
+pub(super) struct PoolState {
     /// Idle connections, the last used one at the end, and since when each is known
     /// to be idle.
     idle: Vec<(UpstreamLink, Option<Instant>)>,
     /// Connections that are open or being opened.
-    open: usize,
+    pub(super) open: usize,
     /// Limit for the connections of this host. The shares of all hosts together
     /// stay within the connection limit of the database, except while hosts join or
     /// leave.
-    share: usize,
+    pub(super) share: usize,
     /// Connections in use that are not pinned to a transaction.
-    running: usize,
-    window: InflightWindow,
+    pub(super) running: usize,
+    pub(super) window: InflightWindow,
+    pub(super) overload: PoolOverload,
     /// Waiting statements in order of arrival.
-    waiters: Vec<PoolWaiter>,
+    pub(super) waiters: Vec<PoolWaiter>,
     /// No connection is opened before this time.
-    full_until: Option<Instant>,
+    pub(super) full_until: Option<Instant>,
     /// Times that the database was full since a connection was last opened.
     refusals: u32,
 }
@@ -92,7 +94,7 @@
     target: PoolTarget,
     /// The gateway through which it is reached, if not directly.
     gateway: Option<HostId>,
-    state: RefCell<PoolState>,
+    pub(super) state: RefCell<PoolState>,
 }
 
 impl DatabasePool {
@@ -109,6 +111,7 @@
             share,
             running: 0,
             window: InflightWindow::new(target.slots(), hosts, share),
+            overload: PoolOverload::default(),
             waiters: Vec::new(),
             full_until: None,
             refusals: 0,
@@ -147,16 +150,16 @@
     ) -> Result<PooledLink, AcquireError> {
         let workspace = workspace.filter(|_| self.gateway.is_none());
         loop {
-            let has_capacity = self.has_capacity();
+            let has_capacity = self.has_capacity(statement.priority);
             if has_capacity && let Some(link) = self.take_idle(workspace) {
-                return Ok(self.check_out(Some(link)));
+                return Ok(self.check_out(Some(link), statement.priority));
             }
             if has_capacity {
                 self.close_idle_of_others(workspace);
             }
             let may_open = if has_capacity { self.may_open() } else { Err(None) };
             let retry_at = match may_open {
-                Ok(()) => match self.open(shared, workspace).await {
+                Ok(()) => match self.open(shared, workspace, statement.priority).await {
                     Ok(link) => return Ok(link),
                     Err(OpenError::Unreachable) => return Err(AcquireError::Unreachable),
                     Err(OpenError::Misrouted) => return Err(AcquireError::Misrouted),
@@ -172,17 +175,12 @@
         }
     }
 
-    /// True if the in-flight window allows another statement at the database.
-    fn has_capacity(&self) -> bool {
-        let state = self.state.borrow();
-        state.running < state.window.limit()
-    }
-
-    fn check_out(self: &Rc<Self>, link: Option<UpstreamLink>) -> PooledLink {
+    fn check_out(self: &Rc<Self>, link: Option<UpstreamLink>, priority: u32) -> PooledLink {
         self.state.borrow_mut().running += 1;
         PooledLink {
             link,
             pool: self.clone(),
+            priority,
             position_at_open: None,
             released: false,
             pinned: false,
@@ -225,16 +223,6 @@
         metrics.set("hawthornstack_queued_statements", state.waiters.len() as f64, &[name]);
     }
 
-    /// Records that the database answered a statement, or refused it as busy.
-    pub(super) fn record_answer(&self, refused: bool) {
-        let mut state = self.state.borrow_mut();
-        let running = state.running;
-        match refused {
-            true => state.window.record_refusal(),
-            false => state.window.record_answer(running),
-        }
-    }
-
     /// The idle connection of the workspace that was used last.
     fn take_idle(&self, workspace: Option<&Arc<str>>) -> Option<UpstreamLink> {
         let mut state = self.state.borrow_mut();
@@ -280,11 +268,12 @@
         self: &Rc<Self>,
         shared: &EntryShared,
         workspace: Option<&Arc<str>>,
+        priority: u32,
     ) -> Result<PooledLink, OpenError> {
         self.state.borrow_mut().open += 1;
         // Dropping this takes the connection off the counts, also if the task is
         // cancelled while the connection is being opened.
-        let mut pooled = self.check_out(None);
+        let mut pooled = self.check_out(None, priority);
         let protocol = &*shared.upstreams;
         let address = match (self.gateway, self.target.record()) {
             (Some(gateway), _) => host_address(gateway, shared.settings.forward_port),
@@ -347,7 +336,9 @@
         });
         match outcome.await {
             Err(_) => Err(AcquireError::OutOfTime),
-            Ok(Some(PoolOffer::Link(link))) => Ok(Some(self.check_out(Some(*link)))),
+            Ok(Some(PoolOffer::Link(link))) => {
+                Ok(Some(self.check_out(Some(*link), statement.priority)))
+            }
             Ok(_) => Ok(None),
         }
     }
@@ -362,11 +353,7 @@
             Some(link) => PoolOffer::Link(Box::new(link)),
             None => PoolOffer::Retry,
         };
-        while state.running < state.window.limit() {
-            let queue: Vec<QueuedStatement> = state.waiters.iter().map(|w| w.statement).collect();
-            let Some(index) = next_in_queue(&queue, now, Duration::ZERO) else {
-                break;
-            };
+        while let Some(index) = state.next_waiter(now) {
             let waiter = state.waiters.remove(index);
             if let PoolOffer::Link(link) = &offer
                 && link.workspace != waiter.workspace
@@ -425,6 +412,8 @@
 pub(super) struct PooledLink {
     link: Option<UpstreamLink>,
     pool: Rc<DatabasePool>,
+    /// Priority of the statement for which it was acquired.
+    priority: u32,
     /// Position that the database reported, if the connection was opened for this
     /// use.
     pub(super) position_at_open: Option<LogPosition>,
@@ -457,9 +446,14 @@
         }
     }
 
+    pub(super) fn pool(&self) -> &DatabasePool {
+        &self.pool
+    }
+
     /// Records that the database answered a statement, or refused it as busy.
-    pub(super) fn record_answer(&self, refused: bool) {
-        self.pool.record_answer(refused);
+    pub(super) fn record_answer(&self, refused: bool, took: Duration) {
+        let workspace = self.link.as_ref().and_then(|link| link.workspace.as_ref());
+        self.pool.record_answer(refused, took, self.priority, workspace, self.pinned);
     }
 
     /// Returns the connection to the pool.
--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -186,11 +186,13 @@
         gateway: Option<HostId>,
         share: usize,
     ) -> Rc<DatabasePool> {
-        let hosts = self.view.borrow().entry_hosts();
+        let view = self.view.borrow();
+        let (hosts, most_urgent) = (view.entry_hosts(), view.urgent_priority(target.service()));
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry((target.key(), gateway));
         let pool = pool.or_insert_with(|| DatabasePool::new(target, gateway, hosts, share));
         pool.set_share(share);
+        pool.set_most_urgent(most_urgent);
         pool.clone()
     }
 
@@ -264,6 +266,7 @@
             let gone = !is_known(&self.view.borrow(), &pool.target().key());
             let share = self.connection_share(pool.target(), pool.gateway());
             pool.set_share(share);
+            pool.check_refusals_ended();
             pool.close_idle((share / IDLE_SHARE_DIVISOR).max(1), gone);
             if gone && pool.is_empty() {
                 self.pools.borrow_mut().remove(&(pool.target().key(), pool.gateway()));
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hawthornstack_decisions::{
-    entry_role::{QueuedStatement, SessionState},
+    entry_role::{QueueForecast, QueuedStatement, SessionState},
     instances::InstanceRecord,
     positions::LogPosition,
 };
@@ -11,6 +11,7 @@
 use super::{
     entry_shared::EntryShared,
     forwarded_reads::ForwardedReads,
+    pool_overload::overload_hint,
     request_trace::RequestTrace,
     statement_run::{
         AssignedConnection, encode_begin, encode_statement, run_exchange, spawn_rollback,
@@ -19,15 +20,15 @@
 };
 use crate::{
     edges::{
-        CallerStatement, ForwardUrgency, ForwardedCommand, SessionPhase, StatementAction,
-        UpstreamCode,
+        CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, SessionPhase,
+        StatementAction, UpstreamCode,
     },
     links::{LineStream, prepare_socket},
 };
 
 /// Time for which a forwarded statement waits for a connection at its gateway; the
 /// forwarding host retries refused statements until their own deadline.
-const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a forwarded statement at the database; the forwarding host usually
 /// ends it sooner, by the timeout of its route.
 pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -228,8 +229,14 @@
         self.shared.callers.encode_ready(out, self.phase(), None);
     }
 
-    fn encode_busy(&self, out: &mut Vec<u8>) {
-        self.shared.upstreams.encode_forward_refusal(out, UpstreamCode::Busy);
+    fn encode_busy(&self, out: &mut Vec<u8>, retry_after: Option<Duration>) {
+        match retry_after {
+            Some(retry_after) => {
+                let hint = overload_hint(retry_after);
+                self.shared.callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
+            }
+            None => self.shared.upstreams.encode_forward_refusal(out, UpstreamCode::Busy),
+        }
         self.shared.callers.encode_ready(out, self.phase(), None);
     }
 
@@ -239,8 +246,9 @@
     }
 
     /// Acquires a direct connection, if one becomes free within
-    /// `FORWARD_CONNECT_TIMEOUT`.
-    async fn acquire_connection(&mut self) -> Option<AssignedConnection> {
+    /// `FORWARD_CONNECT_TIMEOUT`. Else the error says after which time the caller should
+    /// try again, if that is known.
+    async fn acquire_connection(&mut self) -> Result<AssignedConnection, Option<Duration>> {
         let pool = self.shared.direct_pool(&self.record);
         let now = self.shared.now();
         let urgency = self.urgency.take().unwrap_or(DEFAULT_URGENCY);
@@ -251,10 +259,16 @@
         };
         let deadline = Instant::now() + FORWARD_CONNECT_TIMEOUT;
         let workspace = urgency.workspace.as_ref();
-        let pooled = pool.acquire(&self.shared, statement, workspace, deadline).await.ok()?;
+        let forecast = pool.forecast(now, statement, workspace, deadline);
+        if let QueueForecast::Refuse { retry_after } = forecast {
+            pool.record_early_refusal(&self.shared, statement.priority);
+            return Err(Some(retry_after));
+        }
+        let acquired = pool.acquire(&self.shared, statement, workspace, deadline).await;
+        let pooled = acquired.map_err(|_| None)?;
         let service = Arc::clone(&self.record.service);
         let sampled_term = self.shared.view.borrow().term_led_by(&service, &self.record.key);
-        Some(AssignedConnection::for_forward(pooled, service, sampled_term))
+        Ok(AssignedConnection::for_forward(pooled, service, sampled_term))
     }
 
     async fn begin_transaction(
@@ -266,9 +280,12 @@
         if self.pinned.is_some() {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        let Some(mut connection) = self.acquire_connection().await else {
-            self.encode_busy(out);
-            return Ok(());
+        let mut connection = match self.acquire_connection().await {
+            Ok(connection) => connection,
+            Err(retry_after) => {
+                self.encode_busy(out, retry_after);
+                return Ok(());
+            }
         };
         let mut bytes = Vec::new();
         let Some(link) = connection.pooled.link() else {
@@ -294,12 +311,15 @@
             return Err(io::ErrorKind::InvalidData.into());
         }
         let connection = match self.pinned.take() {
-            Some(connection) => Some(connection),
+            Some(connection) => Ok(connection),
             None => self.acquire_connection().await,
         };
-        let Some(mut connection) = connection else {
-            self.encode_busy(out);
-            return Ok(());
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(retry_after) => {
+                self.encode_busy(out, retry_after);
+                return Ok(());
+            }
         };
         let mut bytes = Vec::with_capacity(statement.text.len() + 64);
         let Some(link) = connection.pooled.link() else {
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -11,6 +11,7 @@
     caller_session::{CallerReply, CallerSession},
     entry_shared::EntryShared,
     forward_task::FORWARD_TIMEOUT,
+    pool_overload::overload_hint,
 };
 use crate::edges::{
     CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, StatementAction,
@@ -117,6 +118,10 @@
         match reply {
             CallerReply::Done => callers.encode_done(out),
             CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
+            CallerReply::Overloaded { retry_after } => {
+                let hint = overload_hint(retry_after);
+                callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
+            }
             CallerReply::Refused(refusal, hint) => match refusal {
                 CallerRefusal::NotRun | CallerRefusal::Aborted => {
                     callers.encode_refusal(out, refusal, hint);
--- a/crates/daemon/src/entry_role/run_limits.rs
+++ b/crates/daemon/src/entry_role/run_limits.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
     clock::Moment, instances::InstanceKey, positions::LogPosition, routes::RouteRule,
@@ -8,6 +8,8 @@
 use super::{
     caller_admission::{AdmissionCheck, StatementCaller},
     entry_shared::EntryShared,
+    forward_task::FORWARD_CONNECT_TIMEOUT,
+    retry_decision::RetryDecision,
 };
 
 use crate::edges::{ForwardUrgency, ReadTerms};
@@ -15,6 +17,10 @@
 /// Percentage of a read's remaining time for the first attempt; the rest is left for
 /// an attempt elsewhere.
 const FIRST_READ_PERCENT: u32 = 60;
+/// Shortest time between attempts at gateways, after the second one. Gateways that refuse
+/// early would else get more attempts than those that let a statement wait this long.
+const GATEWAY_RETRY_INTERVAL: Duration = FORWARD_CONNECT_TIMEOUT;
+
 /// Where a statement was tried in vain.
 #[derive(Debug, Default)]
 pub(super) struct TriedUpstreams {
@@ -22,6 +28,9 @@
     pub(super) instances: Vec<InstanceKey>,
     /// Failed attempts at gateways that choose the database.
     pub(super) gateway_attempts: u32,
+    /// When a gateway last refused the statement, or when the attempt after that could
+    /// start.
+    gateway_refused_at: Option<Instant>,
 }
 
 impl TriedUpstreams {
@@ -33,6 +42,15 @@
         }
     }
 
+    /// Records that a gateway refused the statement. A second gateway is tried soon, further
+    /// ones not more often than each `GATEWAY_RETRY_INTERVAL`.
+    pub(super) fn pace_gateway_retry(&mut self, now: Instant) -> RetryDecision {
+        let next = self.gateway_refused_at.map(|at| at + GATEWAY_RETRY_INTERVAL);
+        let next = next.filter(|at| *at > now);
+        self.gateway_refused_at = Some(next.unwrap_or(now));
+        next.map_or(RetryDecision::AfterPause, RetryDecision::NotBefore)
+    }
+
     fn is_empty(&self) -> bool {
         self.instances.is_empty() && self.gateway_attempts == 0
     }
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep_until, timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
     caller_session::{CallerReply, CallerSession},
     entry_shared::EntryShared,
+    idle_timer::IdleTimer,
+    pool_overload::overload_hint,
 };
 use crate::{
     edges::{CallerRefusal, CallerRequest, SessionPhase},
@@ -136,24 +138,17 @@
     lines: &mut LineStream,
     session: &mut CallerSession,
 ) -> io::Result<Option<Bytes>> {
-    let mut idle_until = session.idle_limit().map(|limit| Instant::now() + limit);
+    let idle_timer = IdleTimer::start(session);
     loop {
         let changed = shared.changed.notified();
         if shared.should_close_session(session.is_idle()) {
             return Ok(lines.take_buffered_line());
         }
-        let idle = async {
-            match idle_until {
-                Some(until) => sleep_until(until).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             biased;
             line = lines.next_line() => return line,
-            () = idle => {
+            () = idle_timer.wait_for_end(session), if session.pinned.is_some() => {
                 session.end_idle_transaction();
-                idle_until = None;
             }
             () = changed => {}
         }
@@ -170,6 +165,10 @@
         CallerReply::Done => shared.callers.encode_done(out),
         CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
         CallerReply::Refused(refusal, hint) => shared.callers.encode_refusal(out, refusal, hint),
+        CallerReply::Overloaded { retry_after } => {
+            let hint = overload_hint(retry_after);
+            shared.callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
+        }
     }
     shared.callers.encode_ready(out, session.phase(), session.position);
 }
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -2,7 +2,7 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry_role::{EntryView, QueuedStatement, RestoreStep, SessionState},
+    entry_role::{EntryView, QueueForecast, QueuedStatement, RestoreStep, SessionState},
     instances::InstanceKey,
     positions::LogPosition,
 };
@@ -28,6 +28,9 @@
 /// Time for which a read waits for one database before it chooses again: another
 /// one may have become free or reached the required position.
 const REROUTE_INTERVAL: Duration = Duration::from_millis(40);
+/// The same for a statement that one database must run, where routes have several
+/// priorities: whether it can still be served is checked again.
+const FORECAST_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before a database that refused a statement is tried again.
 const BUSY_RETRY_PAUSE: Duration = Duration::from_millis(8);
 /// Time for a database to roll back a transaction, after which its connection is
@@ -90,6 +93,8 @@
 pub(super) enum AssignError {
     /// No connection became free in time.
     NoConnection,
+    /// The statement cannot get a connection in time; its caller should wait for this long.
+    Overloaded { retry_after: Duration },
     /// No primary became usable in time.
     NoPrimary,
     /// The service has no database that is or could become its primary.
@@ -153,8 +158,23 @@
         let connect_deadline = limits.connect_deadline();
         let until = match limits.may_reroute {
             true => connect_deadline.min(Instant::now() + REROUTE_INTERVAL),
+            false if pool.gateway().is_none() && has_priorities(shared, service) => {
+                connect_deadline.min(Instant::now() + FORECAST_INTERVAL)
+            }
             false => connect_deadline,
         };
+        let workspace = limits.workspace();
+        let forecast = pool.forecast(now, statement, workspace, connect_deadline);
+        if let QueueForecast::Refuse { retry_after } = forecast {
+            match instance.filter(|key| limits.may_reroute && !tried.instances.contains(key)) {
+                Some(key) => tried.add(Some(&key)),
+                None => {
+                    pool.record_early_refusal(shared, statement.priority);
+                    return Err(AssignError::Overloaded { retry_after });
+                }
+            }
+            continue;
+        }
         if let Some(key) = &instance {
             shared.view.borrow_mut().loads.record_start(key);
         }
@@ -232,6 +252,11 @@
     }
 }
 
+/// True if the routes of a service have several priorities.
+pub(super) fn has_priorities(shared: &EntryShared, service: &str) -> bool {
+    shared.view.borrow().urgent_priority(service).is_some()
+}
+
 /// Records that no primary may be used, unless that was the last recorded step.
 fn record_wait_for_primary(
     shared: &EntryShared,
@@ -290,7 +315,7 @@
     trace.record(now, sent);
     if let Ok(answer) = &result {
         let busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
-        connection.pooled.record_answer(busy);
+        connection.pooled.record_answer(busy, now.since(sent_at));
         if let Some(gateway) = connection.pooled.gateway() {
             shared.record_gateway_answer(&target, gateway, now.since(sent_at), busy);
         }
@@ -446,10 +471,15 @@
 /// Pauses before a retry at a database that refused a statement; returns false at
 /// once if the pause would reach `deadline`.
 pub(super) async fn pause_before_retry(shared: &EntryShared, deadline: Instant) -> bool {
+    pause_until(shared, Instant::now() + BUSY_RETRY_PAUSE, deadline).await
+}
+
+/// Pauses until shortly after `at`; returns false at once if that would reach `deadline`.
+pub(super) async fn pause_until(shared: &EntryShared, at: Instant, deadline: Instant) -> bool {
     // The low bits of the boot clock serve as jitter, which spreads the retries of
     // the hosts.
     let jitter = Duration::from_micros(shared.now().as_micros() % 8_000);
-    let until = Instant::now() + BUSY_RETRY_PAUSE + jitter;
+    let until = at + jitter;
     if until >= deadline {
         return false;
     }
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -3,15 +3,16 @@
     entry_role::TransactionPhase,
     routes::{RouteKind, RouteRule},
 };
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 
 use super::{
-    caller_session::{CallerReply, CallerSession, RetryDecision, retry_reason},
+    caller_session::{CallerReply, CallerSession, retry_reason},
     request_trace::{RequestTrace, TraceStep},
+    retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
-        AssignedConnection, assign_connection, encode_begin, encode_statement, pause_before_retry,
-        run_exchange, spawn_rollback,
+        AssignedConnection, assign_connection, encode_begin, encode_statement, has_priorities,
+        pause_before_retry, run_exchange, spawn_rollback,
     },
     upstream_link::{AnswerEnd, UpstreamAnswer},
 };
@@ -243,6 +244,22 @@
         CallerReply::Refused(CallerRefusal::Aborted, hint)
     }
 
+    /// True if the routes of the session's service have several priorities.
+    pub(super) fn has_priorities(&self) -> bool {
+        let connection = self.pinned.as_ref();
+        connection.is_some_and(|connection| has_priorities(&self.shared, &connection.service))
+    }
+
+    /// True if the open transaction should be rolled back before its idle limit, for a
+    /// statement that waits for its connection.
+    pub(super) fn should_end_early(&self, idle: Duration, limit: Duration) -> bool {
+        let route = self.shared.view.borrow().route(&self.database);
+        let connection = self.pinned.as_ref();
+        connection.zip(route).is_some_and(|(connection, route)| {
+            connection.pooled.pool().claim_idle_end(idle, limit, route.priority)
+        })
+    }
+
     /// Rolls back a transaction that waited too long for its next statement.
     pub(super) fn end_idle_transaction(&mut self) {
         if self.pinned.is_some() {
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,12 +7,13 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 17] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 18] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
     ("hawthornstack_retries", "attempts that were repeated, by reason"),
     ("hawthornstack_refusals", "statements refused by this host, by reason"),
+    ("hawthornstack_early_refusals", "statements refused before their time was up, by priority"),
     ("hawthornstack_reads", "reads sent to a database, by its role"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
     ("hawthornstack_upstream_connections", "connections to databases, by database and state"),
@@ -32,6 +33,9 @@
 const TIME_BOUNDS_SECONDS: [f64; 12] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0, 10.0];
 
+/// Labels of priorities, the most urgent first.
+const PRIORITY_LABELS: [&str; 4] = ["0", "1", "2", "3 or less urgent"];
+
 /// The instruments of an entry or control host.
 #[derive(Clone)]
 pub struct HostMetrics {
@@ -41,6 +45,7 @@
     stage_seconds: Histogram<f64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
+    early_refusals: Counter<u64>,
     reads: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     gauges: Vec<(&'static str, Gauge<f64>)>,
@@ -103,6 +108,7 @@
             stage_seconds: histogram(&meter, "hawthornstack_stage_seconds"),
             retries: counter(&meter, "hawthornstack_retries"),
             refusals: counter(&meter, "hawthornstack_refusals"),
+            early_refusals: counter(&meter, "hawthornstack_early_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
             log_lines_left_out: counter(&meter, "hawthornstack_log_lines_left_out"),
             gauges,
@@ -132,6 +138,13 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a statement that was refused since it could not be served in time; the
+    /// least urgent priorities share a label.
+    pub fn count_early_refusal(&self, priority: u32) {
+        let label = PRIORITY_LABELS[(priority as usize).min(PRIORITY_LABELS.len() - 1)];
+        self.early_refusals.add(1, &[KeyValue::new("priority", label)]);
+    }
+
     /// Counts a read that was sent to a primary or to a replica.
     pub fn count_read(&self, is_primary: bool) {
         let role = if is_primary { "primary" } else { "replica" };
