--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -11,12 +11,13 @@
 use super::{
     caller_admission::StatementCaller,
     entry_shared::EntryShared,
+    pool_overload::OVERLOADED,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
     statement_run::{
         AssignError, AssignedConnection, ROLLBACK_TIMEOUT, assign_connection, encode_statement,
-        run_exchange,
+        has_priorities, run_exchange,
     },
     upstream_link::{AnswerEnd, LinkError, UpstreamAnswer},
 };
@@ -388,6 +389,12 @@
             return RetryDecision::Final;
         };
         match code {
+            UpstreamCode::Busy
+                if connection.pooled.gateway().is_some()
+                    && has_priorities(&self.shared, &connection.service) =>
+            {
+                tried.pace_gateway_retry(Instant::now())
+            }
             UpstreamCode::Busy | UpstreamCode::UnknownStatement | UpstreamCode::ReadOnly => {
                 RetryDecision::AfterPause
             }
@@ -453,6 +460,9 @@
             let hint = "no workspace has this key";
             return CallerReply::Refused(CallerRefusal::UnknownKey, hint);
         }
+        AssignError::Overloaded { retry_after } => {
+            return CallerReply::RefusedFor(OVERLOADED, retry_after);
+        }
         AssignError::NoLease => "this host has no lease; try again in 500 ms",
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -11,6 +11,7 @@
     caller_session::{CallerReply, CallerSession},
     entry_shared::EntryShared,
     forward_task::FORWARD_TIMEOUT,
+    pool_overload::retry_hint,
 };
 use crate::edges::{
     CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, StatementAction,
@@ -117,9 +118,9 @@
         match reply {
             CallerReply::Done => callers.encode_done(out),
             CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
-            // Forwarded statements are not limited here.
-            CallerReply::RefusedFor(reason, _) => {
-                callers.encode_refusal(out, CallerRefusal::NotRun, reason);
+            CallerReply::RefusedFor(reason, retry_after) => {
+                let hint = retry_hint(reason, retry_after);
+                callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
             }
             CallerReply::Refused(refusal, hint) => match refusal {
                 CallerRefusal::NotRun | CallerRefusal::Aborted => {
--- a/crates/daemon/src/entry_role/pooled_link.rs
+++ b/crates/daemon/src/entry_role/pooled_link.rs
@@ -1,4 +1,4 @@
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{identity::HostId, positions::LogPosition};
 
@@ -12,6 +12,8 @@
     pool: Rc<DatabasePool>,
     /// Workspace to which the connection belongs, if it belongs to one.
     workspace: Option<Arc<str>>,
+    /// Priority of the statement for which it was acquired.
+    priority: u32,
     /// Position that the database reported, if the connection was opened for this
     /// use.
     pub(super) position_at_open: Option<LogPosition>,
@@ -25,8 +27,17 @@
         pool: Rc<DatabasePool>,
         link: Option<UpstreamLink>,
         workspace: Option<Arc<str>>,
+        priority: u32,
     ) -> Self {
-        Self { link, pool, workspace, position_at_open: None, released: false, pinned: false }
+        Self {
+            link,
+            pool,
+            workspace,
+            priority,
+            position_at_open: None,
+            released: false,
+            pinned: false,
+        }
     }
 
     /// Fills the place with a connection that was opened for it.
@@ -59,9 +70,14 @@
         }
     }
 
-    /// Records that the database answered a statement, or refused it as busy.
-    pub(super) fn record_answer(&self, refused: bool) {
-        self.pool.record_answer(refused);
+    pub(super) fn pool(&self) -> &DatabasePool {
+        &self.pool
+    }
+
+    /// Records that the database answered a statement after `took`, or refused it as busy.
+    pub(super) fn record_answer(&self, refused: bool, took: Duration) {
+        let workspace = self.workspace.as_ref();
+        self.pool.record_answer(refused, took, self.priority, workspace, self.pinned);
     }
 
     /// Returns the connection to the pool.
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep_until, timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 use super::{
     caller_session::{CallerReply, CallerSession},
     entry_shared::EntryShared,
+    idle_timer::IdleTimer,
+    pool_overload::retry_hint,
 };
 use crate::{
     edges::{CallerRefusal, CallerRequest, SessionPhase},
@@ -162,7 +164,7 @@
     session: &mut CallerSession,
 ) -> io::Result<SessionStep> {
     let to_step = |line: Option<Bytes>| line.map_or(SessionStep::Close, SessionStep::Message);
-    let mut idle_until = session.idle_limit().map(|limit| Instant::now() + limit);
+    let idle_timer = IdleTimer::start(session);
     loop {
         let changed = shared.changed.notified();
         if shared.should_close_session(session.is_idle()) {
@@ -171,18 +173,11 @@
         if session.must_end() {
             return Ok(SessionStep::RefuseKey);
         }
-        let idle = async {
-            match idle_until {
-                Some(until) => sleep_until(until).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             biased;
             line = lines.next_line() => return line.map(to_step),
-            () = idle => {
+            () = idle_timer.wait_for_end(session), if session.pinned.is_some() => {
                 session.end_idle_transaction();
-                idle_until = None;
             }
             () = changed => {}
         }
@@ -200,9 +195,7 @@
         CallerReply::Relayed { body, .. } => out.extend_from_slice(&body),
         CallerReply::Refused(refusal, hint) => shared.callers.encode_refusal(out, refusal, hint),
         CallerReply::RefusedFor(reason, retry_after) => {
-            // Rounded up, so that a caller does not come back too early.
-            let millis = retry_after.as_micros().div_ceil(1_000);
-            let hint = format!("{reason}; try again in {millis} ms");
+            let hint = retry_hint(reason, retry_after);
             shared.callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
         }
     }
--- a/crates/decisions/src/entry_role/connection_choice.rs
+++ b/crates/decisions/src/entry_role/connection_choice.rs
@@ -134,9 +134,27 @@
         waiters: &[WaitingStatement],
         handshake: Duration,
         now: Moment,
+    ) -> ReleaseChoice {
+        self.choose_waiter_by(waiters, handshake, now, |servable| {
+            let queue: Vec<QueuedStatement> =
+                servable.iter().map(|index| waiters[*index].statement).collect();
+            next_in_queue(&queue, now, Duration::ZERO)
+        })
+    }
+
+    /// The same with an order of its own: `next_of_servable` is given the indices of the
+    /// waiting statements that can be served, and returns the position of the first one in
+    /// that list, or nothing if none may be served now.
+    pub fn choose_waiter_by(
+        &self,
+        waiters: &[WaitingStatement],
+        handshake: Duration,
+        now: Moment,
+        next_of_servable: impl FnOnce(&[usize]) -> Option<usize>,
     ) -> ReleaseChoice {
         let servable = self.servable(waiters, now);
-        let Some(first) = next_of(&servable, now) else {
+        let indices: Vec<usize> = servable.iter().map(|entry| entry.index).collect();
+        let Some(first) = next_of_servable(&indices).map(|position| servable[position]) else {
             return ReleaseChoice::KeepIdle;
         };
         let serve = |entry: &Servable<'_>, passed_over| ReleaseChoice::Serve {
