Let a cap's burst refill within each window

Change: the burst refills within a window, and what was granted within a window and the lifetime of tokens is bounded by the window's limit. A bucket without the history of one window refills at the rate only.

--- a/crates/decisions/src/usage/mod.rs
+++ b/crates/decisions/src/usage/mod.rs
@@ -7,6 +7,7 @@
 mod usage_bucket;
 mod usage_ledger;
 mod usage_message;
+mod usage_window;
 mod use_history;
 mod workspace_usage;
 
@@ -16,4 +17,5 @@
 pub use usage_bucket::UsageBucket;
 pub use usage_ledger::{CapChange, UsageLedger};
 pub use usage_message::{UsageNeed, UsageShare};
+pub use usage_window::WindowLimit;
 pub use workspace_usage::UsageStep;
--- a/crates/decisions/src/usage/usage_bounds.rs
+++ b/crates/decisions/src/usage/usage_bounds.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::WindowLimit;
+
 /// Longest time for which a granted token is valid.
 const MAX_LIFETIME: Duration = Duration::from_millis(500);
 /// A new leader grants at most this part of the slack before its buckets refill; the
@@ -13,11 +15,13 @@
     pub lifetime: Duration,
     /// Tokens that a bucket without a history holds, if its burst allows them.
     pub start_tokens: u32,
+    /// Limit for each window; without it a cap's rate and burst are all that may run.
+    pub window: Option<WindowLimit>,
 }
 
 impl Default for UsageBounds {
     fn default() -> Self {
-        Self { lifetime: MAX_LIFETIME, start_tokens: 0 }
+        Self { lifetime: MAX_LIFETIME, start_tokens: 0, window: None }
     }
 }
 
@@ -28,6 +32,8 @@
     pub fn new(window: Duration, excess: f64, slack: u32) -> Self {
         let allowed = Duration::try_from_secs_f64(window.as_secs_f64() * excess);
         let lifetime = allowed.unwrap_or(MAX_LIFETIME).min(MAX_LIFETIME);
-        Self { lifetime, start_tokens: slack / START_DIVISOR }
+        let excess_milli = (excess * 1_000.0) as u32;
+        let window = (!window.is_zero()).then_some(WindowLimit { window, excess_milli, slack });
+        Self { lifetime, start_tokens: slack / START_DIVISOR, window }
     }
 }
--- a/crates/decisions/src/usage/usage_ledger.rs
+++ b/crates/decisions/src/usage/usage_ledger.rs
@@ -82,7 +82,7 @@
                     known.removed_at = None;
                 }
                 None => {
-                    let bucket = UsageBucket::new(now, cap, self.bounds.start_tokens);
+                    let bucket = UsageBucket::new(now, cap, self.bounds);
                     let known = KnownWorkspace { bucket, removed_at: None, short_at: None };
                     self.known.insert(rule.name.clone(), known);
                 }
--- a/crates/decisions/tests/usage_caps.rs
+++ b/crates/decisions/tests/usage_caps.rs
@@ -131,7 +131,8 @@
 fn lowered_burst_drops_tokens() {
     let cap = |rate, burst| UsageCap::new(rate, burst).unwrap();
     let at = Moment::from_millis;
-    let mut bucket = UsageBucket::new(at(0), cap(10.0, 100.0), 100);
+    let bounds = UsageBounds { start_tokens: 100, ..UsageBounds::default() };
+    let mut bucket = UsageBucket::new(at(0), cap(10.0, 100.0), bounds);
     bucket.set_cap(at(0), cap(10.0, 5.0));
     assert_eq!(bucket.take(at(0), 100), 5);
     bucket.set_cap(at(0), cap(10.0, 100.0));
