Wait for longer leases of earlier leaders after a change of settings

Cause: a new leader assumed that earlier leases were as short as its own. After bounds.revoke_ms was lowered, or after an upgrade with a limit below 5,000 ms, it promoted a database while a host could still use the old primary. Change: it waits for the longest lease that any setting allows. The default of 3.5 s is unchanged.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -436,7 +436,8 @@
         self.effects.push(ControlEffect::Log(ControlLogEvent::LeadershipGained(term)));
         self.leader_state = Some(LeaderState {
             elected_at: now,
-            leases: LeaseTable::new(now, self.settings.lease_duration),
+            leases: LeaseTable::new(now, self.settings.lease_duration)
+                .with_earlier_leases(now, ENTRY_LEASE_DURATION),
             polls: BTreeMap::new(),
             changes: BTreeMap::new(),
             steady_since: BTreeMap::new(),
--- a/crates/decisions/src/leases/lease_table.rs
+++ b/crates/decisions/src/leases/lease_table.rs
@@ -23,6 +23,14 @@
         table
     }
 
+    /// Waits for leases of earlier leaders that are valid for up to `longest` from now,
+    /// if that is later: settings may have shortened leases since they were granted.
+    pub fn with_earlier_leases(mut self, now: Moment, longest: Duration) -> Self {
+        let end = now + longest + longest * CLOCK_DRIFT_PERCENT / 100;
+        self.earlier_leases_end_at = self.earlier_leases_end_at.max(end);
+        self
+    }
+
     /// Records a lease granted now and returns its length for the holder.
     pub fn grant(&mut self, now: Moment, host: HostId) -> Duration {
         self.ends_at.insert(host, self.latest_expiry(now));
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -74,6 +74,8 @@
     pub database_terms: BTreeMap<Arc<str>, u64>,
     /// Time from the call to the moment at which a database leads.
     pub promotion_time: Duration,
+    /// Lease of entry hosts, as set at the next start of a control host.
+    pub lease_duration: Duration,
     seeds: BTreeSet<HostId>,
     queue: BTreeMap<(Moment, u64), SimulatedEvent>,
     count: u64,
@@ -94,6 +96,7 @@
             instances: BTreeMap::new(),
             database_terms: BTreeMap::new(),
             promotion_time: Duration::ZERO,
+            lease_duration: Duration::from_millis(3_500),
             seeds: seeds.clone(),
             queue: BTreeMap::new(),
             count: 0,
@@ -112,7 +115,7 @@
             bootstrap,
             election_timeout: Duration::from_millis(500),
             heartbeat_interval: Duration::from_millis(125),
-            lease_duration: Duration::from_millis(3_500),
+            lease_duration: self.lease_duration,
             announcement_lifetime: Duration::from_secs(12),
             drain_period: Some(Duration::from_secs(7)),
             // The agreement mixes the host's number into the seed; equal
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -389,3 +389,28 @@
     };
     assert!(!world.updates.iter().any(|(_, update)| old_state(update)));
 }
+
+/// Control hosts restart with a lower limit for the revocation of keys and grant shorter
+/// leases. Guards against a promotion while a host may still use the old primary under a
+/// lease that was granted before.
+#[test]
+fn shortened_leases_do_not_hasten_a_promotion() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY, SECOND_ENTRY]);
+    let renewed_at = world.now;
+    world.renew_lease(leader, FIRST_ENTRY);
+    world.lease_duration = Duration::from_millis(700);
+    (1..=3).for_each(|id| world.kill(HostId(id)));
+    (1..=3).for_each(|id| world.boot(HostId(id), false));
+    world.run(SECOND / 2);
+    let leader = world.leader().expect("a leader");
+    world.handle_event(leader, ControlEvent::EntryLinked(SECOND_ENTRY, None));
+    world.repeat_announcements(leader);
+    let end = world.now + 5 * SECOND;
+    while world.promoted.is_empty() && world.now < end {
+        world.renew_lease(leader, SECOND_ENTRY);
+        report_reachability(&mut world, leader, SECOND_ENTRY, false);
+        world.run(SECOND / 10);
+    }
+    let (at, ..) = world.promoted.first().expect("a promotion");
+    assert!(*at >= renewed_at + LEASE, "after {:?}", at.since(renewed_at));
+}
