Leave the packed configuration out of Debug texts

Cause: the derived Debug text listed the compressed bytes, from which the keys of callers can be recovered. Change: it shows the version and the size.

--- a/crates/decisions/src/routes/packed_routes.rs
+++ b/crates/decisions/src/routes/packed_routes.rs
@@ -1,4 +1,5 @@
 use std::{
+    fmt,
     io::{self, Read, Write},
     sync::Arc,
 };
@@ -16,7 +17,9 @@
 /// It is compressed once for all of them, since their links are narrow and
 /// thousands of routes differ little. The operator's text is left out, since only
 /// control hosts read it back.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// `Debug` leaves out the compressed bytes, which hold the keys of callers.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PackedRoutes {
     /// The operator's version.
     pub version: u64,
@@ -24,6 +27,15 @@
     packed: Vec<u8>,
 }
 
+impl fmt::Debug for PackedRoutes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PackedRoutes")
+            .field("version", &self.version)
+            .field("packed_bytes", &self.packed.len())
+            .finish()
+    }
+}
+
 impl PackedRoutes {
     /// Compresses a configuration.
     ///
--- a/crates/decisions/tests/packed_routes.rs
+++ b/crates/decisions/tests/packed_routes.rs
@@ -1,10 +1,14 @@
 //! Load pattern: a configuration of thousands of routes is sent to every entry host
 //! over a link of 2 Mbit/s, and must be in force within seconds.
 
-use std::{sync::Arc, time::Duration};
+use std::{io::Read, sync::Arc, time::Duration};
 
-use hawthornstack_decisions::routes::{
-    PackedRoutes, RouteKind, RouteRule, RouteTable, ServiceRule, TrafficLimits,
+use flate2::read::DeflateDecoder;
+use hawthornstack_decisions::{
+    identity::CallerKey,
+    routes::{
+        PackedRoutes, RouteKind, RouteRule, RouteTable, ServiceRule, TrafficLimits, WorkspaceRule,
+    },
 };
 
 /// Bytes that a link of 2 Mbit/s transmits in one second.
@@ -68,3 +72,20 @@
     let decoded = read.ok().and_then(|read| read.unpack().ok());
     assert!(decoded.is_none_or(|decoded| decoded.routes != table(50).routes));
 }
+
+/// Guards against a Debug text whose bytes can be decompressed to callers' keys.
+#[test]
+fn debug_text_holds_no_key() {
+    let key = "SECRET-key-of-acme";
+    let rule =
+        WorkspaceRule { name: Arc::from("acme"), keys: vec![CallerKey::new(key)], cap: None };
+    let table = RouteTable { workspaces: Some(vec![rule]), ..table(1) };
+    let text = format!("{:?}", PackedRoutes::pack(&table).expect("packed"));
+    let numbers = text.split(|c: char| !c.is_ascii_digit());
+    let bytes: Vec<u8> = numbers.filter_map(|number| number.parse().ok()).collect();
+    for start in 0..bytes.len() {
+        let mut plain = Vec::new();
+        let _ = DeflateDecoder::new(&bytes[start..]).read_to_end(&mut plain);
+        assert!(!String::from_utf8_lossy(&plain).contains(key), "a key can be recovered");
+    }
+}
