--- a/crates/daemon/src/journal/journal_file.rs
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -55,7 +55,12 @@
         fs::create_dir_all(folder).context(DataFolderSnafu { path: folder })?;
         let path = folder.join(JOURNAL_FILE_NAME);
         let bytes = match fs::read(&path) {
-            Ok(bytes) => bytes,
+            Ok(bytes) => {
+                // A damaged journal is moved aside as it is.
+                fs::set_permissions(&path, Permissions::from_mode(JOURNAL_MODE))
+                    .context(DataFolderSnafu { path: &path })?;
+                bytes
+            }
             Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
             Err(source) => return Err(KernelError::DataFolder { path, source }),
         };
