Refuse no valid key when workspaces are introduced

Cause: a statement that was admitted without a workspace and waited for a connection got NOAUTH, and its session was closed, when the first configuration with workspaces came into force, although its key was valid. Change: it is refused as not run, and the next statement is admitted to the workspace.

--- a/crates/daemon/src/entry_role/caller_admission.rs
+++ b/crates/daemon/src/entry_role/caller_admission.rs
@@ -62,11 +62,11 @@
             (CallerAccess::Open, _) | (CallerAccess::Member(_), Some(_)) => AdmissionCheck::Valid,
             (CallerAccess::Unproven, _) => AdmissionCheck::Wait,
             (CallerAccess::CutOff, _) => AdmissionCheck::Refuse(AssignError::CutOff),
-            // A statement that was admitted without a workspace waits for a connection
-            // of none.
-            (CallerAccess::Member(_), None) | (CallerAccess::Refused, _) => {
-                AdmissionCheck::Refuse(AssignError::UnknownKey)
+            // The statement waits for a connection of no workspace; its key is valid.
+            (CallerAccess::Member(_), None) => {
+                AdmissionCheck::Refuse(AssignError::WorkspaceIntroduced)
             }
+            (CallerAccess::Refused, _) => AdmissionCheck::Refuse(AssignError::UnknownKey),
         }
     }
 
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -462,6 +462,7 @@
             return CallerReply::Refused(CallerRefusal::UnknownKey, hint);
         }
         AssignError::NoLease => "this host has no lease; try again in 500 ms",
+        AssignError::WorkspaceIntroduced => "the route needs a key now; try again at once",
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
         AssignError::CutOff => "this host is cut off from control; try again at once elsewhere",
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -98,6 +98,8 @@
     CutOff,
     /// This host got no lease in time, without which it cannot check the caller's key.
     NoLease,
+    /// The caller's key got a workspace while the statement waited without one.
+    WorkspaceIntroduced,
     /// No workspace has the caller's key, or another one than before.
     UnknownKey,
 }
