--- a/crates/daemon/src/entry_role/database_pool.rs
+++ b/crates/daemon/src/entry_role/database_pool.rs
@@ -12,6 +12,7 @@
 
 use super::{
     entry_shared::EntryShared,
+    pool_overload::PoolOverload,
     pool_target::PoolTarget,
     pool_waiters::PoolWaiters,
     pooled_link::PooledLink,
@@ -57,19 +58,13 @@
 pub(super) struct PoolState {
     pub(super) table: ConnectionTable<UpstreamLink>,
     /// Connections in use that are not pinned to a transaction.
-    running: usize,
-    window: InflightWindow,
+    pub(super) running: usize,
+    pub(super) window: InflightWindow,
+    pub(super) overload: PoolOverload,
     pub(super) handshake: HandshakeTime,
     pub(super) waiters: PoolWaiters,
 }
 
-impl PoolState {
-    /// True if the in-flight window allows another statement at the database.
-    pub(super) fn has_capacity(&self) -> bool {
-        self.running < self.window.limit()
-    }
-}
-
 /// Connections of this host to one database instance, or to a gateway of a service;
 /// a restarted database is a new instance with a pool of its own.
 #[derive(Debug)]
@@ -92,6 +87,7 @@
             table: ConnectionTable::new(share),
             running: 0,
             window: InflightWindow::new(target.slots(), hosts, share),
+            overload: PoolOverload::default(),
             handshake: HandshakeTime::default(),
             waiters: PoolWaiters::default(),
         };
@@ -129,7 +125,7 @@
     ) -> Result<PooledLink, AcquireError> {
         let workspace = workspace.filter(|_| self.gateway.is_none());
         loop {
-            let grant = match self.try_grant(workspace, BootClock.now()) {
+            let grant = match self.try_grant(workspace, statement.priority, BootClock.now()) {
                 Ok(grant) => Some(grant),
                 Err(until) => self.wait_for_grant(statement, workspace, until, deadline).await?,
             };
@@ -150,10 +146,11 @@
     pub(super) fn try_grant(
         self: &Rc<Self>,
         workspace: Option<&Arc<str>>,
+        priority: u32,
         now: Moment,
     ) -> Result<ConnectionGrant, Option<Moment>> {
         let mut state = self.state.borrow_mut();
-        if !state.has_capacity() {
+        if !state.has_capacity(priority) {
             return Err(None);
         }
         let (link, replaced) = loop {
@@ -177,7 +174,7 @@
             }
         };
         state.running += 1;
-        let pooled = PooledLink::new(self.clone(), link, workspace.cloned());
+        let pooled = PooledLink::new(self.clone(), link, workspace.cloned(), priority);
         Ok(ConnectionGrant { pooled, replaced })
     }
 
@@ -271,16 +268,6 @@
         }
     }
 
-    /// Records that the database answered a statement, or refused it as busy.
-    pub(super) fn record_answer(&self, refused: bool) {
-        let mut state = self.state.borrow_mut();
-        let running = state.running;
-        match refused {
-            true => state.window.record_refusal(),
-            false => state.window.record_answer(running),
-        }
-    }
-
     /// Records that a statement no longer takes up a part of the in-flight window.
     pub(super) fn subtract_running(&self) {
         self.state.borrow_mut().running -= 1;
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -10,6 +10,8 @@
 mod entry_shared;
 mod forward_task;
 mod forwarded_reads;
+mod idle_timer;
+mod pool_overload;
 mod pool_target;
 mod pool_waiters;
 mod pooled_link;
--- a/crates/daemon/src/entry_role/pool_waiters.rs
+++ b/crates/daemon/src/entry_role/pool_waiters.rs
@@ -35,6 +35,16 @@
         self.statements.len()
     }
 
+    pub(super) fn statements(&self) -> &[WaitingStatement] {
+        &self.statements
+    }
+
+    /// The statements that still wait.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &WaitingStatement> + Clone {
+        let pairs = self.statements.iter().zip(&self.senders);
+        pairs.filter(|(_, sender)| !sender.is_closed()).map(|(waiting, _)| waiting)
+    }
+
     /// Adds a statement; one that waits again keeps its position in the queue.
     fn insert(&mut self, waiting: WaitingStatement, sender: GrantSender) {
         let arrived = waiting.statement.arrived;
@@ -60,14 +70,7 @@
     /// granted.
     fn next_served(&mut self, now: Moment) -> Option<(WaitingStatement, GrantSender)> {
         self.waiters.remove_ended();
-        if !self.has_capacity() {
-            return None;
-        }
-        let handshake = self.handshake.expected();
-        let waiters = &self.waiters.statements;
-        let ReleaseChoice::Serve { waiter, passed_over, .. } =
-            self.table.choose_waiter(waiters, handshake, now)
-        else {
+        let ReleaseChoice::Serve { waiter, passed_over, .. } = self.choose_waiter(now) else {
             return None;
         };
         if let Some(index) = passed_over {
@@ -116,7 +119,9 @@
             let Some((waiting, sender)) = served else {
                 return;
             };
-            let Ok(grant) = self.try_grant(waiting.workspace.as_ref(), now) else {
+            let Ok(grant) =
+                self.try_grant(waiting.workspace.as_ref(), waiting.statement.priority, now)
+            else {
                 // Its idle connection turned out to be broken and no other one can be
                 // opened now; it waits on, and the next released connection is chosen
                 // for all waiting statements again.
--- a/crates/daemon/src/metrics/host_metrics.rs
+++ b/crates/daemon/src/metrics/host_metrics.rs
@@ -7,13 +7,14 @@
 
 /// Names and descriptions, with units, of the metrics of entry and control
 /// hosts, as `docs/METRICS.md` lists them.
-pub const HOST_METRIC_NAMES: [(&str, &str); 21] = [
+pub const HOST_METRIC_NAMES: [(&str, &str); 22] = [
     ("hawthornstack_statements", "statements answered, by kind of route and outcome"),
     ("hawthornstack_statement_seconds", "time to a statement's answer, by kind of route, seconds"),
     ("hawthornstack_stage_seconds", "time in the queue and at the database, by stage, seconds"),
     ("hawthornstack_retries", "attempts that were repeated, by reason"),
     ("hawthornstack_refusals", "statements refused by this host, by reason"),
     ("hawthornstack_usage_refusals", "operations refused for lack of a token of their workspace"),
+    ("hawthornstack_early_refusals", "statements refused before their time was up, by priority"),
     ("hawthornstack_reads", "reads sent to a database, by its role"),
     ("hawthornstack_keys_refused", "callers refused for their key, by state of the key"),
     ("hawthornstack_sessions", "callers' sessions that are open"),
@@ -42,6 +43,9 @@
 const TIME_BOUNDS_SECONDS: [f64; 12] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2.0, 10.0];
 
+/// Labels of priorities, the most urgent first.
+const PRIORITY_LABELS: [&str; 4] = ["0", "1", "2", "3 or less urgent"];
+
 /// The instruments of an entry or control host.
 #[derive(Clone)]
 pub struct HostMetrics {
@@ -52,6 +56,7 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     usage_refusals: Counter<u64>,
+    early_refusals: Counter<u64>,
     reads: Counter<u64>,
     connections_replaced: Counter<u64>,
     keys_refused: Counter<u64>,
@@ -118,6 +123,7 @@
             retries: counter(&meter, "hawthornstack_retries"),
             refusals: counter(&meter, "hawthornstack_refusals"),
             usage_refusals: counter(&meter, "hawthornstack_usage_refusals"),
+            early_refusals: counter(&meter, "hawthornstack_early_refusals"),
             reads: counter(&meter, "hawthornstack_reads"),
             connections_replaced: counter(&meter, "hawthornstack_connections_replaced"),
             keys_refused: counter(&meter, "hawthornstack_keys_refused"),
@@ -154,6 +160,13 @@
         self.usage_refusals.add(1, &[]);
     }
 
+    /// Counts a statement that was refused since it could not be served in time; the
+    /// least urgent priorities share a label.
+    pub fn count_early_refusal(&self, priority: u32) {
+        let label = PRIORITY_LABELS[(priority as usize).min(PRIORITY_LABELS.len() - 1)];
+        self.early_refusals.add(1, &[KeyValue::new("priority", label)]);
+    }
+
     /// Counts a read that was sent to a primary or to a replica.
     pub fn count_read(&self, is_primary: bool) {
         let role = if is_primary { "primary" } else { "replica" };
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -1,4 +1,8 @@
-use std::{collections::BTreeSet, fmt, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -94,6 +98,16 @@
 }
 
 impl RouteTable {
+    /// The most urgent priority of each service whose routes have several priorities.
+    pub fn urgent_priorities(&self) -> BTreeMap<Arc<str>, u32> {
+        let mut priorities: BTreeMap<Arc<str>, BTreeSet<u32>> = BTreeMap::new();
+        for route in &self.routes {
+            priorities.entry(route.service.clone()).or_default().insert(route.priority);
+        }
+        priorities.retain(|_, priorities| priorities.len() > 1);
+        priorities.into_iter().filter_map(|(service, all)| Some((service, *all.first()?))).collect()
+    }
+
     /// Checks that every route can be served.
     ///
     /// # Errors
