Start each bucket of a cap with a token

Change: start tokens are limited by the capacity, which is at least 1, instead of the burst; without stated bounds a bucket starts with one token.

--- a/crates/decisions/src/usage/usage_bounds.rs
+++ b/crates/decisions/src/usage/usage_bounds.rs
@@ -4,6 +4,9 @@
 
 /// Longest time for which a granted token is valid.
 const MAX_LIFETIME: Duration = Duration::from_millis(500);
+/// Start tokens without stated bounds: the first operation of a workspace is not refused
+/// for a bucket that was just created.
+const DEFAULT_START_TOKENS: u32 = 1;
 /// A new leader grants at most this part of the slack before its buckets refill; the
 /// rest is left for a second change of leader and for hosts without one.
 const START_DIVISOR: u32 = 2;
@@ -13,7 +16,7 @@
 pub struct UsageBounds {
     /// Time for which a token is valid after its request was sent.
     pub lifetime: Duration,
-    /// Tokens that a bucket without a history holds, if its burst allows them.
+    /// Tokens that a bucket without a history holds, if its capacity allows them.
     pub start_tokens: u32,
     /// Limit for each window; without it a cap's rate and burst are all that may run.
     pub window: Option<WindowLimit>,
@@ -21,7 +24,7 @@
 
 impl Default for UsageBounds {
     fn default() -> Self {
-        Self { lifetime: MAX_LIFETIME, start_tokens: 0, window: None }
+        Self { lifetime: MAX_LIFETIME, start_tokens: DEFAULT_START_TOKENS, window: None }
     }
 }
 
--- a/crates/decisions/src/usage/usage_bucket.rs
+++ b/crates/decisions/src/usage/usage_bucket.rs
@@ -24,9 +24,9 @@
 }
 
 impl UsageBucket {
-    /// A bucket that holds the bounds' start tokens, or the burst if that is less.
+    /// A bucket that holds the bounds' start tokens, or its capacity if that is less.
     pub fn new(now: Moment, cap: UsageCap, bounds: UsageBounds) -> Self {
-        let tokens = cap.burst().min(f64::from(bounds.start_tokens)).min(capacity_of(cap));
+        let tokens = f64::from(bounds.start_tokens).min(capacity_of(cap));
         let history = GrantHistory::default();
         Self { cap, bounds, tokens, filled_at: now, created_at: now, history }
     }
