--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -4,7 +4,10 @@
     time::Duration,
 };
 
-use super::{CallerAccess, DatabasePath, GatewayMap, KeyTable, LoadTable, SampledPositions};
+use super::{
+    CallerAccess, DatabasePath, GatewayMap, KeyTable, LoadTable, ReadRequirement, ReadTarget,
+    SampledPositions,
+};
 use crate::{
     clock::Moment,
     identity::{CallerKey, HostId},
@@ -61,34 +64,6 @@
     Missing,
 }
 
-/// What a read must see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadRequirement {
-    /// Every acknowledged commit; only the primary guarantees that.
-    Latest,
-    /// Every commit up to this position.
-    Position {
-        /// The position.
-        position: LogPosition,
-        /// True if replicas without unusual lag hold the position.
-        likely_replicated: bool,
-    },
-}
-
-/// Database that a read is sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ReadTarget {
-    /// The primary, if it may be used.
-    Primary,
-    /// This replica, which must hold the position.
-    Replica {
-        /// The replica.
-        record: InstanceRecord,
-        /// The position.
-        position: LogPosition,
-    },
-}
-
 /// What an entry host knows about services, and the lease under which it serves.
 #[derive(Debug)]
 pub struct EntryView {
