Rank a waiting statement in one place

Cause: the pool's choice, its forecast and the test's load each put a statement together with the recent work of its workspace. Change: PoolPriorities::rank does, and replaces recent_work. No change of behaviour.

--- a/crates/daemon/src/entry_role/pool_overload.rs
+++ b/crates/daemon/src/entry_role/pool_overload.rs
@@ -55,10 +55,8 @@
         self.table.choose_waiter_by(waiters, handshake, now, |servable| {
             let queue: Vec<RankedStatement> = servable
                 .iter()
-                .map(|index| RankedStatement {
-                    statement: waiters[*index].statement,
-                    recent_work: priorities.recent_work(now, waiters[*index].workspace.as_ref()),
-                })
+                .map(|index| &waiters[*index])
+                .map(|waiter| priorities.rank(now, waiter.statement, waiter.workspace.as_ref()))
                 .collect();
             priorities.next_waiter(window, running, &queue, now)
         })
@@ -119,10 +117,7 @@
         let state = self.state.borrow();
         let time_left = deadline.saturating_duration_since(Instant::now());
         let priorities = &state.overload.priorities;
-        let rank = |statement, workspace| RankedStatement {
-            statement,
-            recent_work: priorities.recent_work(now, workspace),
-        };
+        let rank = |statement, workspace| priorities.rank(now, statement, workspace);
         let others =
             state.waiters.waiting().map(|waiter| rank(waiter.statement, waiter.workspace.as_ref()));
         // The low bits of the boot clock differ between statements and hosts.
--- a/crates/decisions/src/entry_role/pool_priorities.rs
+++ b/crates/decisions/src/entry_role/pool_priorities.rs
@@ -1,8 +1,8 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    InflightWindow, QueueForecast, QueueTurns, RankedStatement, ResponseTrend, WorkspaceWork,
-    forecast_wait,
+    InflightWindow, QueueForecast, QueueTurns, QueuedStatement, RankedStatement, ResponseTrend,
+    WorkspaceWork, forecast_wait,
 };
 use crate::clock::Moment;
 
@@ -65,9 +65,14 @@
         }
     }
 
-    /// Recent work of a workspace, by which the queue is ordered.
-    pub fn recent_work(&self, now: Moment, workspace: Option<&Arc<str>>) -> Duration {
-        self.work.recent(now, workspace)
+    /// A statement with the recent work of its workspace, by which the queue is ordered.
+    pub fn rank(
+        &self,
+        now: Moment,
+        statement: QueuedStatement,
+        workspace: Option<&Arc<str>>,
+    ) -> RankedStatement {
+        RankedStatement { statement, recent_work: self.work.recent(now, workspace) }
     }
 
     /// Index of the waiting statement that takes a free place, if one may.
--- a/crates/decisions/tests/priority_load/mod.rs
+++ b/crates/decisions/tests/priority_load/mod.rs
@@ -147,8 +147,7 @@
         };
         let priorities = &self.gateways[call.gateway].priorities;
         let now = Moment::from_micros(now_us);
-        let recent_work = priorities.recent_work(now, kind.workspace.as_ref());
-        RankedStatement { statement, recent_work }
+        priorities.rank(now, statement, kind.workspace.as_ref())
     }
 
     fn forecast(&mut self, call: &Call, now_us: u64) -> QueueForecast {
