Leave elections on slow disks more time to collect votes

Cause: a candidate started its next pre-vote 75 to 150 ms after its election, and voters answer only once their vote is synced. With 120 ms a sync on all hosts no leader was elected in 10 s: each election was abandoned for the next, which added to what the disks had to sync.

Change: each further election in a row has twice the time, up to eight times.

--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -104,6 +104,8 @@
     /// Inquiry for a leader after the start, until it is concluded.
     pub(super) inquiry: Option<LeaderInquiry>,
     pub(super) election_due: Moment,
+    /// Elections that this host has started since it last knew a leader.
+    pub(super) elections_without_leader: u32,
     pub(super) synced_index: u64,
     /// Persist number and last log index of each batch that is not synced yet.
     unsynced_batches: VecDeque<(u64, u64)>,
@@ -161,6 +163,7 @@
             heard_leader: false,
             inquiry: None,
             election_due: now,
+            elections_without_leader: 0,
             unsynced_batches: VecDeque::new(),
             persist_number: 0,
             synced_number: 0,
--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -9,6 +9,9 @@
 /// A host without a leader starts at most this many pre-votes per election
 /// timeout.
 const PRE_VOTES_PER_TIMEOUT: u32 = 4;
+/// Limit for the doublings of a candidate's time to collect votes. The longest time is
+/// twice to four times the election timeout.
+const MAX_VOTE_TIME_DOUBLINGS: u32 = 3;
 
 impl AgreementState {
     pub(super) fn tick(&mut self, now: Moment) {
@@ -48,6 +51,7 @@
     fn campaign(&mut self, now: Moment, pre_vote: bool, forming: bool) {
         let term = self.hard_state.term + 1;
         if !pre_vote {
+            self.extend_vote_time(now);
             let me = self.me;
             self.update_hard_state(|hard| {
                 hard.term = term;
@@ -71,6 +75,16 @@
         self.count_votes(now);
     }
 
+    /// Leaves each further election in a row twice the time to collect votes. Voters answer
+    /// once their vote is synced: on slow disks, elections that are abandoned too soon only
+    /// add to what the disks have to sync.
+    fn extend_vote_time(&mut self, now: Moment) {
+        let shortest = self.settings.election_timeout / PRE_VOTES_PER_TIMEOUT;
+        let doublings = self.elections_without_leader.min(MAX_VOTE_TIME_DOUBLINGS);
+        self.election_due = now + self.random_timeout(shortest * 2u32.pow(doublings));
+        self.elections_without_leader += 1;
+    }
+
     pub(super) fn receive_vote(&mut self, now: Moment, from: HostId, request: VoteRequest) {
         let granted = self.can_grant_vote(now, from, &request);
         if granted && !request.pre_vote {
@@ -161,6 +175,7 @@
             first_index,
         });
         self.leader = Some(self.me);
+        self.elections_without_leader = 0;
         self.effects.push(AgreementEffect::Elected(self.hard_state.term));
         if first_index == 1 {
             let voters = self.log.voters().clone();
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -101,6 +101,7 @@
         }
         self.become_follower(now);
         self.leader = Some(from);
+        self.elections_without_leader = 0;
         self.inquiry = None;
         self.heard_leader = true;
         self.abstains_until = now + self.settings.election_timeout;
