Order waiting statements by the end of their objectives

Hypothesis: where one database serves statements of several objectives, those with a long objective make the others late, though they can wait.

Change: among equal priorities the statement whose objective ends first goes first; in a backlog the newest of those with the shortest objective.

--- a/crates/decisions/src/entry_role/queue_order.rs
+++ b/crates/decisions/src/entry_role/queue_order.rs
@@ -23,9 +23,10 @@
 /// and a statement takes about `expected`.
 ///
 /// Statements that can still meet their objective go first, by priority and
-/// then in order of arrival. Once the oldest of them has used half of its
-/// objective, statements arrive faster than they are answered. Then the newest
-/// goes first, since in order of arrival all would be answered just too late.
+/// then in the order in which their objectives end. Once the first of them has used
+/// half of its objective, statements arrive faster than they are answered. Then the
+/// one with the shortest objective goes first, since the others can wait longer, and of
+/// these the newest, since in order of arrival all would be answered just too late.
 /// Statements that can no longer meet their objective go when no other one waits,
 /// the newest first.
 pub fn next_in_queue(queue: &[QueuedStatement], now: Moment, expected: Duration) -> Option<usize> {
@@ -34,11 +35,11 @@
     let Some(priority) = urgent else {
         return queue.len().checked_sub(1);
     };
-    let mut first = in_time.filter(|(_, s)| s.priority == priority).map(|(index, _)| index);
-    let oldest = first.next()?;
-    let statement = &queue[oldest];
-    if now.since(statement.arrived) * 2 > statement.objective {
-        return first.next_back().or(Some(oldest));
+    let peers = in_time.filter(|(_, s)| s.priority == priority);
+    let (first, statement) = peers.clone().min_by_key(|(_, s)| s.arrived + s.objective)?;
+    if now.since(statement.arrived) * 2 <= statement.objective {
+        return Some(first);
     }
-    Some(oldest)
+    let shortest = peers.clone().map(|(_, s)| s.objective).min()?;
+    peers.filter(|(_, s)| s.objective == shortest).map(|(index, _)| index).next_back()
 }
--- a/crates/decisions/tests/queue_order.rs
+++ b/crates/decisions/tests/queue_order.rs
@@ -35,6 +35,29 @@
     assert_eq!(next_in_queue(&[], Moment::from_millis(310), SERVICE_TIME), None);
 }
 
+fn with_objective(arrived_ms: u64, objective_ms: u64) -> QueuedStatement {
+    let objective = Duration::from_millis(objective_ms);
+    QueuedStatement { objective, ..statement(arrived_ms, 1) }
+}
+
+/// Guards against statements with a long objective that make those with a short one late.
+#[test]
+fn first_objective_to_end_goes_first() {
+    let queue = [with_objective(100, 500), with_objective(120, 200)];
+    assert_eq!(next_in_queue(&queue, Moment::from_millis(130), SERVICE_TIME), Some(1));
+    let queue = [with_objective(100, 300), with_objective(210, 200)];
+    assert_eq!(next_in_queue(&queue, Moment::from_millis(240), SERVICE_TIME), Some(0));
+}
+
+/// Guards against a backlog in which each statement is answered just too late, whatever
+/// the objectives.
+#[test]
+fn shortest_objective_goes_first_in_a_backlog() {
+    let queue = [with_objective(100, 500), with_objective(300, 200), with_objective(390, 200)];
+    assert_eq!(next_in_queue(&queue, Moment::from_millis(420), SERVICE_TIME), Some(2));
+    assert_eq!(next_in_queue(&queue[..1], Moment::from_millis(420), SERVICE_TIME), Some(0));
+}
+
 /// Serves one statement per `SERVICE_TIME`, starting with a backlog of one second's
 /// arrivals. Returns how many of the statements that arrived after the outage met
 /// their objective.
