--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -24,6 +24,10 @@
 use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
 /// Reply to a caller's statement.
+/// Hint of the refusal by a host that is cut off from control.
+pub(super) const CUT_OFF_HINT: &str =
+    "this host is cut off from control; try again at once elsewhere";
+
 pub(super) enum CallerReply {
     /// Success without involving a database.
     Done,
@@ -393,7 +397,7 @@
                 if connection.pooled.gateway().is_some()
                     && has_priorities(&self.shared, &connection.service) =>
             {
-                tried.pace_gateway_retry(Instant::now())
+                tried.record_busy_gateway()
             }
             UpstreamCode::Busy | UpstreamCode::UnknownStatement | UpstreamCode::ReadOnly => {
                 RetryDecision::AfterPause
@@ -425,6 +429,15 @@
     /// True if a write's answer from the primary of this term may be given to the
     /// caller.
     pub(super) fn accepts_answer(&self, service: &str, term_number: Option<u64>) -> bool {
+            UpstreamCode::Misrouted
+                if connection.instance().is_none()
+                    && let Some(gateway) = connection.pooled.gateway() =>
+            {
+                // It does not know the service, or is cut off from control.
+                self.shared.avoid_gateway(gateway);
+                tried.add(None);
+                RetryDecision::AtOnce
+            }
         let view = self.shared.view.borrow();
         term_number
             .is_some_and(|term_number| view.accepts_answer(self.shared.now(), service, term_number))
@@ -467,7 +480,7 @@
         AssignError::WorkspaceIntroduced => "the route needs a key now; try again at once",
         AssignError::NoConnection => "no connection to the database was free; try again at once",
         AssignError::NoPrimary => "the primary is being replaced; try again in 500 ms",
-        AssignError::CutOff => "this host is cut off from control; try again at once elsewhere",
+        AssignError::CutOff => CUT_OFF_HINT,
         AssignError::ServiceEmpty => "the service has no database; try again in 1 s",
     };
     CallerReply::Refused(CallerRefusal::NotRun, hint)
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -8,13 +8,13 @@
 };
 
 use super::{
-    caller_session::{CallerReply, CallerSession},
+    caller_session::{CUT_OFF_HINT, CallerReply, CallerSession},
     entry_shared::EntryShared,
     forward_task::FORWARD_TIMEOUT,
     pool_overload::retry_hint,
 };
 use crate::edges::{
-    CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, StatementAction,
+    CallerRefusal, CallerStatement, ForwardUrgency, ForwardedCommand, StatementAction, UpstreamCode,
 };
 
 /// A connection over which another host sends reads of a service. This host, a gateway
@@ -122,6 +122,9 @@
                 let hint = retry_hint(reason, retry_after);
                 callers.encode_refusal(out, CallerRefusal::NotRun, &hint);
             }
+            CallerReply::Refused(CallerRefusal::NotRun, CUT_OFF_HINT) => {
+                self.shared.upstreams.encode_forward_refusal(out, UpstreamCode::Misrouted);
+            }
             CallerReply::Refused(refusal, hint) => match refusal {
                 CallerRefusal::NotRun | CallerRefusal::Aborted => {
                     callers.encode_refusal(out, refusal, hint);
--- a/crates/daemon/src/entry_role/pool_overload.rs
+++ b/crates/daemon/src/entry_role/pool_overload.rs
@@ -98,7 +98,11 @@
         let state = &mut *state;
         let priorities = &mut state.overload.priorities;
         if refused {
-            return state.window.record_refusal();
+            // A gateway's refusal tells nothing about the room for other statements.
+            return match self.gateway() {
+                Some(_) => {}
+                None => state.window.record_refusal(),
+            };
         }
         priorities.record_work(BootClock.now(), workspace, took);
         if !pinned || !priorities.is_active() {
--- a/crates/daemon/src/entry_role/retry_decision.rs
+++ b/crates/daemon/src/entry_role/retry_decision.rs
@@ -1,9 +1,6 @@
 use tokio::time::Instant;
 
-use super::{
-    entry_shared::EntryShared,
-    statement_run::{pause_before_retry, pause_until},
-};
+use super::{entry_shared::EntryShared, statement_run::pause_before_retry};
 
 /// Whether a statement is tried again after a database refused it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,8 +11,6 @@
     AtOnce,
     /// Retry after a pause, if there is time for one.
     AfterPause,
-    /// Retry shortly after this time, if there is time for that.
-    NotBefore(Instant),
 }
 
 impl RetryDecision {
@@ -25,7 +20,6 @@
             Self::Final => false,
             Self::AtOnce => true,
             Self::AfterPause => pause_before_retry(shared, deadline).await,
-            Self::NotBefore(at) => pause_until(shared, at, deadline).await,
         }
     }
 }
--- a/crates/daemon/src/entry_role/run_limits.rs
+++ b/crates/daemon/src/entry_role/run_limits.rs
@@ -1,14 +1,17 @@
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use hawthornstack_decisions::{
-    clock::Moment, instances::InstanceKey, positions::LogPosition, routes::RouteRule,
+    clock::Moment,
+    entry_role::{BusyGatewayStep, GatewayAttempts},
+    instances::InstanceKey,
+    positions::LogPosition,
+    routes::RouteRule,
 };
 use tokio::time::Instant;
 
 use super::{
     caller_admission::{AdmissionCheck, StatementCaller},
     entry_shared::EntryShared,
-    forward_task::FORWARD_CONNECT_TIMEOUT,
     retry_decision::RetryDecision,
 };
 
@@ -17,20 +20,14 @@
 /// Percentage of a read's remaining time for the first attempt; the rest is left for
 /// an attempt elsewhere.
 const FIRST_READ_PERCENT: u32 = 60;
-/// Shortest time between attempts at gateways, after the second one. Gateways that refuse
-/// early would else get more attempts than those that let a statement wait this long.
-const GATEWAY_RETRY_INTERVAL: Duration = FORWARD_CONNECT_TIMEOUT;
 
 /// Where a statement was tried in vain.
 #[derive(Debug, Default)]
 pub(super) struct TriedUpstreams {
     /// Databases that are ruled out for further attempts.
     pub(super) instances: Vec<InstanceKey>,
-    /// Failed attempts at gateways that choose the database.
-    pub(super) gateway_attempts: u32,
-    /// When a gateway last refused the statement, or when the attempt after that could
-    /// start.
-    gateway_refused_at: Option<Instant>,
+    /// Vain attempts at gateways.
+    pub(super) gateways: GatewayAttempts,
 }
 
 impl TriedUpstreams {
@@ -38,21 +35,20 @@
     pub(super) fn add(&mut self, instance: Option<&InstanceKey>) {
         match instance {
             Some(key) => self.instances.push(key.clone()),
-            None => self.gateway_attempts += 1,
+            None => self.gateways.record_failure(),
         }
     }
 
-    /// Records that a gateway refused the statement. A second gateway is tried soon, further
-    /// ones not more often than each `GATEWAY_RETRY_INTERVAL`.
-    pub(super) fn pace_gateway_retry(&mut self, now: Instant) -> RetryDecision {
-        let next = self.gateway_refused_at.map(|at| at + GATEWAY_RETRY_INTERVAL);
-        let next = next.filter(|at| *at > now);
-        self.gateway_refused_at = Some(next.unwrap_or(now));
-        next.map_or(RetryDecision::AfterPause, RetryDecision::NotBefore)
+    /// Records that a gateway refused the statement as busy.
+    pub(super) fn record_busy_gateway(&mut self) -> RetryDecision {
+        match self.gateways.record_busy() {
+            BusyGatewayStep::TryAnother => RetryDecision::AfterPause,
+            BusyGatewayStep::Refuse => RetryDecision::Final,
+        }
     }
 
     fn is_empty(&self) -> bool {
-        self.instances.is_empty() && self.gateway_attempts == 0
+        self.instances.is_empty() && self.gateways.is_empty()
     }
 }
 
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -164,6 +164,10 @@
             false if pool.gateway().is_none() && has_priorities(shared, service) => {
                 connect_deadline.min(Instant::now() + FORECAST_INTERVAL)
             }
+            // Another gateway may have room or be reachable.
+            false if pool.gateway().is_some() => {
+                connect_deadline.min(Instant::now() + REROUTE_INTERVAL)
+            }
             false => connect_deadline,
         };
         let workspace = limits.workspace();
@@ -188,7 +192,12 @@
         let (at, got) = (shared.now(), acquired.is_ok());
         trace.record(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
-            Err(AcquireError::OutOfTime) if Instant::now() < connect_deadline => continue,
+            Err(AcquireError::OutOfTime) if Instant::now() < connect_deadline => {
+                if let Some(gateway) = pool.gateway() {
+                    shared.record_gateway_answer(pool.target(), gateway, at.since(now), true);
+                }
+                continue;
+            }
             Ok(pooled) => {
                 if let (Some(term_number), Some(position)) = (term_number, pooled.position_at_open)
                 {
@@ -474,15 +483,10 @@
 /// Pauses before a retry at a database that refused a statement; returns false at
 /// once if the pause would reach `deadline`.
 pub(super) async fn pause_before_retry(shared: &EntryShared, deadline: Instant) -> bool {
-    pause_until(shared, Instant::now() + BUSY_RETRY_PAUSE, deadline).await
-}
-
-/// Pauses until shortly after `at`; returns false at once if that would reach `deadline`.
-pub(super) async fn pause_until(shared: &EntryShared, at: Instant, deadline: Instant) -> bool {
     // The low bits of the boot clock serve as jitter, which spreads the retries of
     // the hosts.
     let jitter = Duration::from_micros(shared.now().as_micros() % 8_000);
-    let until = at + jitter;
+    let until = Instant::now() + BUSY_RETRY_PAUSE + jitter;
     if until >= deadline {
         return false;
     }
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -132,9 +132,11 @@
                 BeginEnd::Begun(Box::new(connection))
             }
             Ok(answer) if answer.phase == SessionPhase::Idle => {
+                let is_busy = answer.end == AnswerEnd::Refused(UpstreamCode::Busy);
                 let decision = match self.decide_retry(&connection, &answer, false, tried) {
-                    // Nothing ran, so that a BEGIN may be repeated whatever the refusal.
-                    RetryDecision::Final => RetryDecision::AfterPause,
+                    // Nothing ran, so that a BEGIN may be repeated whatever the refusal,
+                    // unless two gateways were busy.
+                    RetryDecision::Final if !is_busy => RetryDecision::AfterPause,
                     decision => decision,
                 };
                 connection.pooled.release();
--- a/crates/daemon/src/entry_role/upstream_choice.rs
+++ b/crates/daemon/src/entry_role/upstream_choice.rs
@@ -17,9 +17,6 @@
     statement_run::AssignError,
 };
 
-/// Attempts of one read at gateways that choose its database. Later ones choose it on
-/// this host, since the gateways may lack a lease or a database that this host knows.
-const MAX_GATEWAY_ATTEMPTS: u32 = 3;
 /// A statement is sent only if its timeout divided by this number remains, unless
 /// its database usually answers sooner.
 const MIN_TIME_DIVISOR: u32 = 4;
@@ -52,7 +49,7 @@
     let needs_primary = limits.needs_primary || limits.route.kind == RouteKind::Primary;
     if !needs_primary
         && !limits.forwarded
-        && tried.gateway_attempts < MAX_GATEWAY_ATTEMPTS
+        && tried.gateways.may_use_gateway()
         && let Some(pool) = shared.service_pool(service, limits.workspace())
     {
         return UpstreamChoice::Gateway(pool);
--- a/crates/decisions/tests/gateway_choice.rs
+++ b/crates/decisions/tests/gateway_choice.rs
@@ -5,7 +5,7 @@
 
 use hawthornstack_decisions::{
     clock::Moment,
-    entry_role::{GatewayLoad, choose_gateway},
+    entry_role::{BusyGatewayStep, GatewayAttempts, GatewayLoad, choose_gateway},
 };
 
 const NOW: Moment = Moment::from_millis(10_000);
@@ -60,3 +60,35 @@
     assert_eq!(choose_gateway(&gateways, NOW), Some(0));
     assert_eq!(choose_gateway(&[], NOW), None);
 }
+
+/// Guards against statements of an overloaded service that go from gateway to gateway
+/// until their time is over, and against giving up before a second gateway was asked.
+#[test]
+fn second_busy_gateway_ends_the_attempts() {
+    let mut attempts = GatewayAttempts::default();
+    assert_eq!(attempts.record_busy(), BusyGatewayStep::TryAnother);
+    assert!(attempts.may_use_gateway());
+    assert_eq!(attempts.record_busy(), BusyGatewayStep::Refuse);
+}
+
+/// Guards against gateways that fail in turn and keep a statement from the databases that
+/// its own host can use.
+#[test]
+fn failing_gateways_are_given_up() {
+    let mut attempts = GatewayAttempts::default();
+    attempts.record_busy();
+    assert!(attempts.is_empty());
+    (0..3).for_each(|_| attempts.record_failure());
+    assert!(!attempts.may_use_gateway() && !attempts.is_empty());
+}
+
+/// Guards against statements that wait at a gateway to which the host has no free link, or
+/// which does not answer, while another one is free.
+#[test]
+fn gateway_without_a_link_is_left() {
+    let mut stuck = answered(&[5; 9]);
+    stuck.record_no_connection(NOW);
+    let gateways = [stuck, answered(&[10; 9])];
+    assert_eq!(choose_gateway(&gateways, NOW), Some(1));
+    assert_eq!(choose_gateway(&gateways, NOW + Duration::from_millis(150)), Some(0));
+}
