Count a repeated operation as waiting since its first attempt

Cause: a caller whose operation was refused repeats it some 75 ms later, and the repeated attempt went before or beside new ones that could still be answered within their objective.

Change: if a session repeats the operation that was refused, by the same text and within a second, it waits since the first attempt.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -12,6 +12,7 @@
     caller_admission::StatementCaller,
     entry_shared::EntryShared,
     pool_overload::OVERLOADED,
+    refused_operation::RefusedOperation,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
     retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
@@ -23,11 +24,11 @@
 };
 use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
-/// Reply to a caller's statement.
 /// Hint of the refusal by a host that is cut off from control.
 pub(super) const CUT_OFF_HINT: &str =
     "this host is cut off from control; try again at once elsewhere";
 
+/// Reply to a caller's statement.
 pub(super) enum CallerReply {
     /// Success without involving a database.
     Done,
@@ -37,6 +38,8 @@
         body: Vec<u8>,
         /// True for a result, false for a refusal by the database.
         served: bool,
+        /// True if the database or gateway was too busy to run it.
+        not_run: bool,
     },
     /// Refused by this host, with a hint for the caller.
     Refused(CallerRefusal, &'static str),
@@ -45,6 +48,17 @@
     RefusedFor(&'static str, Duration),
 }
 
+impl CallerReply {
+    /// True for a refusal that promises that nothing was run.
+    fn is_not_run(&self) -> bool {
+        match self {
+            Self::Refused(CallerRefusal::NotRun, _) | Self::RefusedFor(..) => true,
+            Self::Relayed { not_run, .. } => *not_run,
+            Self::Done | Self::Refused(..) => false,
+        }
+    }
+}
+
 /// Outcome of one attempt at a database.
 enum AttemptEnd {
     /// Final reply to the caller.
@@ -70,6 +84,8 @@
     /// When the caller asked for the session. Its first statement at a database
     /// counts as waiting since then, as the caller may have connected just for it.
     opened: Option<Moment>,
+    /// The last operation, if it was refused without being run.
+    refused: Option<RefusedOperation>,
     /// Log position reported with the last answer of a database.
     pub(super) position: Option<LogPosition>,
     /// Route of the statements that another host forwards; callers have that of their
@@ -89,6 +105,7 @@
             pinned: None,
             wrote: false,
             opened: Some(opened),
+            refused: None,
             position: None,
             forwarded_route: None,
         }
@@ -248,7 +265,7 @@
             self.state.transaction = TransactionPhase::Idle;
             return CallerReply::Refused(CallerRefusal::UnknownDatabase, "no route has this name");
         };
-        let arrived = self.take_arrival();
+        let arrived = self.operation_arrival(statement);
         let permit = match self.admit_operation(route, deadline).await {
             Ok(permit) => permit,
             Err(reply) => return reply,
@@ -261,9 +278,19 @@
             _ => self.run_single(route, statement, arrived, deadline, trace).await,
         };
         self.end_operation(permit, trace);
+        if reply.is_not_run() {
+            self.refused = Some(RefusedOperation::new(statement, arrived));
+        }
         reply
     }
 
+    /// When the operation that begins with this statement began to wait.
+    fn operation_arrival(&mut self, statement: &CallerStatement) -> Moment {
+        let arrived = self.take_arrival();
+        let refused = self.refused.take().filter(|refused| refused.is_repeated_by(statement));
+        refused.map_or(arrived, |refused| refused.arrived)
+    }
+
     /// True if the statement, or the prepared statement that it executes, writes.
     pub(super) fn is_write(&self, statement: &CallerStatement) -> bool {
         match &statement.action {
@@ -402,6 +429,15 @@
             UpstreamCode::Busy | UpstreamCode::UnknownStatement | UpstreamCode::ReadOnly => {
                 RetryDecision::AfterPause
             }
+            UpstreamCode::Misrouted
+                if connection.instance().is_none()
+                    && let Some(gateway) = connection.pooled.gateway() =>
+            {
+                // It does not know the service, or is cut off from control.
+                self.shared.avoid_gateway(gateway);
+                tried.add(None);
+                RetryDecision::AtOnce
+            }
             UpstreamCode::Lagging | UpstreamCode::Misrouted => {
                 if let (Some(key), Some(position)) = (connection.instance(), connection.after) {
                     let now = self.shared.now();
@@ -429,15 +465,6 @@
     /// True if a write's answer from the primary of this term may be given to the
     /// caller.
     pub(super) fn accepts_answer(&self, service: &str, term_number: Option<u64>) -> bool {
-            UpstreamCode::Misrouted
-                if connection.instance().is_none()
-                    && let Some(gateway) = connection.pooled.gateway() =>
-            {
-                // It does not know the service, or is cut off from control.
-                self.shared.avoid_gateway(gateway);
-                tried.add(None);
-                RetryDecision::AtOnce
-            }
         let view = self.shared.view.borrow();
         term_number
             .is_some_and(|term_number| view.accepts_answer(self.shared.now(), service, term_number))
@@ -445,7 +472,11 @@
 
     pub(super) fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
         self.position = answer.position;
-        CallerReply::Relayed { served: answer.end == AnswerEnd::Done, body: answer.body }
+        CallerReply::Relayed {
+            served: answer.end == AnswerEnd::Done,
+            not_run: answer.end == AnswerEnd::Refused(UpstreamCode::Busy),
+            body: answer.body,
+        }
     }
 }
 
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -17,6 +17,7 @@
 mod pooled_link;
 mod primary_probe;
 mod refused_keys;
+mod refused_operation;
 mod request_trace;
 mod retry_decision;
 mod run_limits;
