Refuse late statements at once behind a backlog

Cause: a statement that can no longer meet its objective goes after all that can. Beside a backlog of those it waited until its connect deadline in vain.

Change: it is refused at once, at hosts and gateways, with the time after which to try again.

--- a/crates/decisions/src/entry_role/early_refusal.rs
+++ b/crates/decisions/src/entry_role/early_refusal.rs
@@ -26,6 +26,9 @@
 /// Forecasts whether a statement gets one of `window` places within `time_left`, beside
 /// the other ones that wait, in order of arrival. A place is taken for about
 /// `response_time`. `spread` is any number that differs between statements.
+///
+/// A statement that can no longer meet its objective does not wait beside a backlog of
+/// statements that can: they all go first.
 pub fn forecast_wait(
     others: impl Iterator<Item = RankedStatement> + Clone,
     ranked: &RankedStatement,
@@ -35,9 +38,10 @@
     time_left: Duration,
     spread: u64,
 ) -> QueueForecast {
+    let is_hopeless = is_behind_backlog(others.clone(), ranked, now);
     let ahead = count_ahead(others, ranked, now);
     let drain = response_time * ahead / window.max(1) as u32;
-    if drain * 100 <= time_left * MARGIN_PERCENT {
+    if !is_hopeless && drain * 100 <= time_left * MARGIN_PERCENT {
         return QueueForecast::Wait;
     }
     let drain_us = drain.as_micros() as u64;
@@ -45,6 +49,22 @@
     QueueForecast::Refuse { retry_after: drain + Duration::from_micros(jitter_us) }
 }
 
+/// True if the statement can no longer meet its objective while others wait that can, the
+/// oldest of which has used half of its own.
+pub fn is_behind_backlog(
+    others: impl Iterator<Item = RankedStatement>,
+    ranked: &RankedStatement,
+    now: Moment,
+) -> bool {
+    let is_late = !ranked.statement.can_meet_objective(now, Duration::ZERO);
+    is_late
+        && others.map(|other| other.statement).any(|other| {
+            other.priority <= ranked.statement.priority
+                && other.can_meet_objective(now, Duration::ZERO)
+                && now.since(other.arrived) * 2 > other.objective
+        })
+}
+
 /// Statements of the same or a higher priority that go first, as `next_in_queue` orders
 /// them. Less urgent ones never count,
 /// nor those of workspaces with more recent work, which wait for the others.
--- a/crates/decisions/src/entry_role/mod.rs
+++ b/crates/decisions/src/entry_role/mod.rs
@@ -31,7 +31,7 @@
 };
 pub use connection_state::{ConnectionState, RestoreStep};
 pub use connection_table::{ConnectionTable, IdleConnection};
-pub use early_refusal::{QueueForecast, forecast_wait};
+pub use early_refusal::{QueueForecast, forecast_wait, is_behind_backlog};
 pub use entry_view::{EntryView, PathInputs, PrimaryAvailability};
 pub use gateway_attempts::{BusyGatewayStep, GatewayAttempts};
 pub use gateway_load::{GatewayLoad, choose_gateway};
--- a/crates/decisions/src/entry_role/pool_priorities.rs
+++ b/crates/decisions/src/entry_role/pool_priorities.rs
@@ -2,7 +2,7 @@
 
 use super::{
     InflightWindow, QueueForecast, QueueTurns, QueuedStatement, RankedStatement, ResponseTrend,
-    WorkspaceWork, forecast_wait,
+    WorkspaceWork, forecast_wait, is_behind_backlog,
 };
 use crate::clock::Moment;
 
@@ -47,10 +47,10 @@
         priority: u32,
         took: Duration,
     ) {
+        self.trend.record(priority, took);
         if self.most_urgent.is_none() {
             return window.record_answer(running);
         }
-        self.trend.record(priority, took);
         match self.trend.is_slow(priority) {
             true => window.record_slow_answer(),
             // Less urgent statements fill the window once only the reserved place is left.
@@ -104,8 +104,10 @@
         time_left: Duration,
         spread: u64,
     ) -> QueueForecast {
-        let is_full =
-            self.is_active() && !self.has_room(window, running, ranked.statement.priority);
+        let is_full = !self.has_room(window, running, ranked.statement.priority);
+        if is_full && !self.is_active() && !is_behind_backlog(others.clone(), ranked, now) {
+            return QueueForecast::Wait;
+        }
         match self.trend.recent().filter(|_| is_full) {
             Some(response_time) => {
                 let places = window.limit();
