Shrink windows once answers take twice their usual time

Hypothesis: with windows that grow until answers take three times their usual time, the database's queue, which is in order of arrival, delays urgent statements.

Change: the factor is 2. The smallest window grows with the host's share of the slots, so that few hosts at a database with many slots still use all of them.

--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -193,7 +193,11 @@
         share: usize,
     ) -> Rc<DatabasePool> {
         let view = self.view.borrow();
-        let (hosts, most_urgent) = (view.entry_hosts(), view.urgent_priority(target.service()));
+        let most_urgent = view.urgent_priority(target.service());
+        let connections =
+            view.service_rule(target.service()).map_or(1, |rule| rule.max_connections);
+        // All hosts that connect have about the same share.
+        let hosts = connections / (share as u32).max(1);
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry((target.key(), gateway));
         let pool = pool.or_insert_with(|| DatabasePool::new(target, gateway, hosts, share));
--- a/crates/decisions/src/entry_role/inflight_window.rs
+++ b/crates/decisions/src/entry_role/inflight_window.rs
@@ -3,9 +3,9 @@
 /// Factor applied to the window when the database answers far slower than usual. It is
 /// applied again and again until the database's queue is short.
 const SLOW_SHRINK_FACTOR: f64 = 0.9;
-/// Size down to which the window shrinks for slow answers. A window of 2 lets one less
-/// urgent statement run, as one of 1 does, but also leaves a place to urgent ones.
-const SLOW_MIN_SIZE: f64 = 2.0;
+/// Places beyond the host's share of the slots down to which the window shrinks for slow
+/// answers. One place is left to urgent statements.
+const URGENT_PLACES: f64 = 1.0;
 
 /// Limit on the statements that a host has in flight at one database.
 ///
@@ -17,6 +17,9 @@
 pub struct InflightWindow {
     size: f64,
     min_size: f64,
+    /// Size down to which the window shrinks for slow answers: all hosts together still
+    /// use all slots.
+    slow_min_size: f64,
     max_size: f64,
     answered_since_shrink: u32,
 }
@@ -28,7 +31,8 @@
         let share = f64::from(slots) / f64::from(hosts.max(1));
         let max_size = (connections.max(1)) as f64;
         let size = (2.0 * share).ceil().max(2.0).min(max_size);
-        Self { size, min_size: 1.0, max_size, answered_since_shrink: 0 }
+        let slow_min_size = share.ceil().max(1.0) + URGENT_PLACES;
+        Self { size, min_size: 1.0, slow_min_size, max_size, answered_since_shrink: 0 }
     }
 
     /// The number of statements that may be in flight.
@@ -55,7 +59,7 @@
     pub fn record_slow_answer(&mut self) {
         self.answered_since_shrink = self.answered_since_shrink.saturating_add(1);
         if self.answered_since_shrink >= self.limit() as u32 {
-            self.size = (self.size * SLOW_SHRINK_FACTOR).max(SLOW_MIN_SIZE.min(self.size));
+            self.size = (self.size * SLOW_SHRINK_FACTOR).max(self.slow_min_size.min(self.size));
             self.answered_since_shrink = 0;
         }
     }
--- a/crates/decisions/src/entry_role/response_trend.rs
+++ b/crates/decisions/src/entry_role/response_trend.rs
@@ -12,7 +12,7 @@
 const TRACKED_PRIORITIES: usize = 4;
 /// Ratio of the recent to the lowest usual response time from which statements wait in
 /// the database's queue.
-const SLOW_FACTOR: f64 = 3.0;
+const SLOW_FACTOR: f64 = 2.0;
 /// Answers before an average is used.
 const MIN_ANSWERS: u32 = 8;
 
@@ -53,7 +53,7 @@
         self.all.record(took);
     }
 
-    /// True if statements of this priority recently took more than three times their
+    /// True if statements of this priority recently took more than twice their
     /// lowest usual time.
     pub fn is_slow(&self, priority: u32) -> bool {
         let times = &self.by_priority[tracked_index(priority)];
--- a/crates/decisions/tests/priority_load/mod.rs
+++ b/crates/decisions/tests/priority_load/mod.rs
@@ -1,6 +1,9 @@
 //! A database with a few slots and a queue in order of arrival, used by gateways that each
 //! see only a part of its statements. Time is simulated.
 
+// Each test file uses a part of the policies.
+#![allow(dead_code)]
+
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use hawthornstack_decisions::{
@@ -24,6 +27,8 @@
 /// Interval in which waiting statements are checked again for whether they can be served.
 const RECHECK_US: u64 = 100_000;
 pub const SECOND_US: u64 = 1_000_000;
+/// Shortest time after which a refused caller returns.
+const RETURN_PAUSE_US: u64 = 75_000;
 
 /// One kind of statement, with its share of the load.
 #[derive(Debug, Clone)]
@@ -50,6 +55,9 @@
 struct Call {
     kind: usize,
     first_us: u64,
+    /// When its present attempt began.
+    attempt_us: u64,
+    /// Since when it counts as waiting.
     arrived_us: u64,
     sent_us: u64,
     gateway: usize,
@@ -65,6 +73,8 @@
     ByPriority,
     /// The pools' new rules; refused callers return at once and never give up.
     ImmediateRetries,
+    /// As `ByPriority`, but each attempt of a refused caller counts as a new statement.
+    AttemptsAsNew,
 }
 
 struct Gateway {
@@ -127,14 +137,25 @@
             let chance = (self.kinds[kind].rate)(now_us) * TICK_US as f64 / SECOND_US as f64;
             if self.random.random_bool(chance) {
                 let gateway = self.random.random_range(0..GATEWAYS);
-                let call = Call { kind, first_us: now_us, arrived_us: now_us, sent_us: 0, gateway };
+                let call = Call {
+                    kind,
+                    first_us: now_us,
+                    attempt_us: now_us,
+                    arrived_us: now_us,
+                    sent_us: 0,
+                    gateway,
+                };
                 self.arrive(call, now_us);
             }
         }
         let due: Vec<Call> =
             self.returning.extract_if(.., |(at, _)| *at <= now_us).map(|(_, call)| call).collect();
         for call in due {
-            self.arrive(Call { arrived_us: now_us, ..call }, now_us);
+            let arrived_us = match self.policy {
+                Policy::ByPriority => call.first_us,
+                _ => now_us,
+            };
+            self.arrive(Call { attempt_us: now_us, arrived_us, ..call }, now_us);
         }
     }
 
@@ -151,7 +172,7 @@
     }
 
     fn forecast(&mut self, call: &Call, now_us: u64) -> QueueForecast {
-        let deadline_us = call.arrived_us + self.kinds[call.kind].connect.as_micros() as u64;
+        let deadline_us = call.attempt_us + self.kinds[call.kind].connect.as_micros() as u64;
         let left = Duration::from_micros(deadline_us.saturating_sub(now_us));
         let spread = self.random.random_range(0..1_000);
         let gateway = &self.gateways[call.gateway];
@@ -193,11 +214,14 @@
     /// The caller returns after a refusal, if its deadline leaves time for that.
     fn refuse(&mut self, call: Call, now_us: u64, retry_after: Duration) {
         let pause_us = match self.policy {
-            Policy::ByPriority => (retry_after.as_micros() as u64).max(TICK_US),
+            Policy::ByPriority | Policy::AttemptsAsNew => {
+                (retry_after.as_micros() as u64).max(RETURN_PAUSE_US)
+            }
             Policy::GrowUntilRefused | Policy::ImmediateRetries => TICK_US,
         };
         let deadline_us = call.first_us + self.kinds[call.kind].deadline.as_micros() as u64;
-        match now_us + pause_us > deadline_us && self.policy == Policy::ByPriority {
+        let gives_up = matches!(self.policy, Policy::ByPriority | Policy::AttemptsAsNew);
+        match gives_up && now_us + pause_us > deadline_us {
             true => self.outcomes.push((call.kind, call.first_us, Outcome::Refused)),
             false => self.returning.push((now_us + pause_us, call)),
         }
@@ -209,7 +233,7 @@
         for gateway in 0..GATEWAYS {
             let calls = std::mem::take(&mut self.gateways[gateway].queue);
             let (late, waiting): (Vec<Call>, Vec<Call>) = calls.into_iter().partition(|call| {
-                let waited = Duration::from_micros(now_us - call.arrived_us);
+                let waited = Duration::from_micros(now_us - call.attempt_us);
                 waited >= self.kinds[call.kind].connect
             });
             self.gateways[gateway].queue = waiting;
