Keep the time of a first election as it was

Change: only the second and further elections in a row are given more time.

Result: slow_votes passes as before, sabotage_noticed passes with its seeds unchanged.

--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -79,10 +79,12 @@
     /// once their vote is synced: on slow disks, elections that are abandoned too soon only
     /// add to what the disks have to sync.
     fn extend_vote_time(&mut self, now: Moment) {
-        let shortest = self.settings.election_timeout / PRE_VOTES_PER_TIMEOUT;
         let doublings = self.elections_without_leader.min(MAX_VOTE_TIME_DOUBLINGS);
-        self.election_due = now + self.random_timeout(shortest * 2u32.pow(doublings));
         self.elections_without_leader += 1;
+        if doublings > 0 {
+            let shortest = self.settings.election_timeout / PRE_VOTES_PER_TIMEOUT;
+            self.election_due = now + self.random_timeout(shortest * 2u32.pow(doublings));
+        }
     }
 
     pub(super) fn receive_vote(&mut self, now: Moment, from: HostId, request: VoteRequest) {
