--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -66,6 +66,8 @@
     /// Send time of the newest message that the follower has answered.
     pub(super) acknowledged_at: Option<Moment>,
     pub(super) sent_at: Moment,
+    /// Index of the last snapshot sent, and when.
+    pub(super) snapshot_sent: Option<(u64, Moment)>,
     /// When this leader started to replicate to the host.
     pub(super) followed_since: Moment,
 }
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -13,6 +13,9 @@
 const REPLACED_VOTER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Silence after which the leader stops replicating to a learner.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an unanswered snapshot is sent again: longer than one with the largest
+/// configuration takes to arrive and to be synced.
+const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Fewest voters that remain when a silent one is removed; three voters
 /// tolerate one failure.
 const MIN_VOTERS: usize = 3;
@@ -26,9 +29,18 @@
             incarnation: 0,
             acknowledged_at: None,
             sent_at: now,
+            snapshot_sent: None,
             followed_since: now,
         }
     }
+
+    /// True if a snapshot that it lacks may still be on its way to the follower or to its
+    /// disk. Another one would only queue behind it.
+    fn awaits_snapshot(&self, now: Moment) -> bool {
+        self.snapshot_sent.is_some_and(|(index, at)| {
+            self.match_index < index && now.since(at) < SNAPSHOT_RETRY_INTERVAL
+        })
+    }
 }
 
 impl AgreementState {
@@ -83,11 +95,24 @@
                     sent_at: now,
                 })
             }
-            None => AgreementMessage::InstallSnapshot {
+            // A heartbeat that any log matches.
+            None if follower.awaits_snapshot(now) => AgreementMessage::Append(AppendMessage {
                 term: self.hard_state.term,
-                snapshot: Box::new(self.log.snapshot().clone()),
+                previous_index: 0,
+                previous_term: 0,
+                entries: Vec::new(),
+                commit: 0,
                 sent_at: now,
-            },
+            }),
+            None => {
+                let snapshot = self.log.snapshot();
+                follower.snapshot_sent = Some((snapshot.index, now));
+                AgreementMessage::InstallSnapshot {
+                    term: self.hard_state.term,
+                    snapshot: Box::new(snapshot.clone()),
+                    sent_at: now,
+                }
+            }
         };
         self.send(host, message);
     }
@@ -225,7 +250,7 @@
             follower.next_index = reply.match_index + 1;
         }
         let is_behind = follower.next_index <= last_index;
-        if is_behind {
+        if is_behind && !follower.awaits_snapshot(now) {
             self.replicate_to(now, from);
         }
         self.advance_commit(now);
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -11,11 +11,11 @@
 };
 
 use hawthornstack_decisions::{
-    agreement::JournalRecord,
+    agreement::{AgreementMessage, JournalRecord},
     clock::Moment,
     control_role::{
-        ControlEffect, ControlEvent, ControlHost, ControlSettings, EntryReport, EntryUpdate,
-        OperatorOrder, OrderAnswer, PromoteResult,
+        ControlEffect, ControlEvent, ControlHost, ControlMessage, ControlSettings, EntryReport,
+        EntryUpdate, OperatorOrder, OrderAnswer, PromoteResult,
     },
     identity::HostId,
     instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
@@ -66,6 +66,8 @@
     pub cut_links: BTreeSet<(HostId, HostId)>,
     pub answers: BTreeMap<u64, OrderAnswer>,
     pub updates: Vec<(HostId, EntryUpdate)>,
+    /// Snapshots of the log sent between control hosts.
+    pub snapshots_sent: usize,
     /// Control hosts that sent the updates, in the same order.
     pub update_senders: Vec<HostId>,
     pub promoted: Vec<(Moment, HostId, InstanceKey, u64)>,
@@ -91,6 +93,7 @@
             cut_links: BTreeSet::new(),
             answers: BTreeMap::new(),
             updates: Vec::new(),
+            snapshots_sent: 0,
             update_senders: Vec::new(),
             promoted: Vec::new(),
             instances: BTreeMap::new(),
@@ -373,6 +376,11 @@
             ControlEffect::SendPeer(to, message) => {
                 let dialled = self.hosts.get(&id).is_some_and(|h| h.dialled.contains(&to));
                 if dialled {
+                    let is_snapshot = matches!(
+                        message,
+                        ControlMessage::Agreement(AgreementMessage::InstallSnapshot { .. })
+                    );
+                    self.snapshots_sent += usize::from(is_snapshot);
                     self.send(id, to, ControlEvent::Peer(id, message));
                 }
             }
