--- a/crates/daemon/src/entry_role/refused_operation.rs
+++ b/crates/daemon/src/entry_role/refused_operation.rs
@@ -1,4 +1,5 @@
-use bytes::Bytes;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use hawthornstack_decisions::clock::Moment;
 use tokio::time::{Duration, Instant};
 
@@ -13,8 +14,8 @@
 /// does not go before operations that can.
 #[derive(Debug)]
 pub(super) struct RefusedOperation {
-    /// Text of its first statement.
-    text: Bytes,
+    /// Hash of the text of its first statement; the text itself may be long.
+    text_hash: u64,
     /// When its first attempt began to wait.
     pub(super) arrived: Moment,
     refused_at: Instant,
@@ -22,11 +23,17 @@
 
 impl RefusedOperation {
     pub(super) fn new(statement: &CallerStatement, arrived: Moment) -> Self {
-        Self { text: statement.text.clone(), arrived, refused_at: Instant::now() }
+        Self { text_hash: hash_text(statement), arrived, refused_at: Instant::now() }
     }
 
     /// True if the statement begins the same operation again.
     pub(super) fn is_repeated_by(&self, statement: &CallerStatement) -> bool {
-        self.text == statement.text && self.refused_at.elapsed() < RETURN_TIME
+        self.refused_at.elapsed() < RETURN_TIME && self.text_hash == hash_text(statement)
     }
 }
+
+fn hash_text(statement: &CallerStatement) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    statement.text.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -282,14 +282,17 @@
         }
     }
 
-    /// Starts replication to a host that asks to join, if this host leads. The
+    /// Starts replication to a host that links to this one, if this host leads. A
     /// learner becomes a voter once it has caught up.
     pub fn admit_learner(&mut self, now: Moment, host: HostId) {
         let first = self.log.last_index() + 1;
         if let AgreementRole::Leader(leader) = &mut self.role
             && host != self.me
         {
-            leader.followers.entry(host).or_insert_with(|| FollowerProgress::new(first, now));
+            let follower = leader.followers.entry(host);
+            let follower = follower.or_insert_with(|| FollowerProgress::new(first, now));
+            // It may have restarted, so that a snapshot on its way is lost.
+            follower.snapshot_sent = None;
         }
     }
 
