--- a/crates/decisions/src/entry_role/inflight_window.rs
+++ b/crates/decisions/src/entry_role/inflight_window.rs
@@ -3,8 +3,8 @@
 /// Factor applied to the window when the database answers far slower than usual. It is
 /// applied again and again until the database's queue is short.
 const SLOW_SHRINK_FACTOR: f64 = 0.9;
-/// Places beyond the host's share of the slots down to which the window shrinks for slow
-/// answers. One place is left to urgent statements.
+/// Places of the smallest window for slow answers beyond the host's share of the slots.
+/// They are left to urgent statements.
 const URGENT_PLACES: f64 = 1.0;
 
 /// Limit on the statements that a host has in flight at one database.
--- a/crates/decisions/tests/queue_order.rs
+++ b/crates/decisions/tests/queue_order.rs
@@ -120,3 +120,16 @@
     window.set_max(3);
     assert_eq!(window.limit(), 3);
 }
+
+/// Guards against windows that shrink for slow answers until the few hosts at a database
+/// with many slots leave most of these idle.
+#[test]
+fn few_hosts_use_all_slots() {
+    let (slots, hosts) = (16, 2);
+    let mut window = InflightWindow::new(slots, hosts, 40);
+    (0..1_000).for_each(|_| window.record_slow_answer());
+    assert!(window.limit() as u32 * hosts >= slots, "{} places a host", window.limit());
+    let mut window = InflightWindow::new(3, 9, 3);
+    (0..1_000).for_each(|_| window.record_slow_answer());
+    assert_eq!(window.limit(), 2, "one place and one for urgent statements");
+}
