--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -10,6 +10,7 @@
 
 use super::{
     caller_admission::StatementCaller,
+    caller_reply::{CUT_OFF_HINT, CallerReply},
     entry_shared::EntryShared,
     pool_overload::OVERLOADED,
     refused_operation::RefusedOperation,
@@ -24,41 +25,6 @@
 };
 use crate::edges::{CallerRefusal, CallerStatement, SessionPhase, StatementAction, UpstreamCode};
 
-/// Hint of the refusal by a host that is cut off from control.
-pub(super) const CUT_OFF_HINT: &str =
-    "this host is cut off from control; try again at once elsewhere";
-
-/// Reply to a caller's statement.
-pub(super) enum CallerReply {
-    /// Success without involving a database.
-    Done,
-    /// The answer of a database, unchanged.
-    Relayed {
-        /// Encoded rows and result or refusal.
-        body: Vec<u8>,
-        /// True for a result, false for a refusal by the database.
-        served: bool,
-        /// True if the database or gateway was too busy to run it.
-        not_run: bool,
-    },
-    /// Refused by this host, with a hint for the caller.
-    Refused(CallerRefusal, &'static str),
-    /// Refused by this host without being run; the hint states the reason and the time
-    /// after which it may be tried again.
-    RefusedFor(&'static str, Duration),
-}
-
-impl CallerReply {
-    /// True for a refusal that promises that nothing was run.
-    fn is_not_run(&self) -> bool {
-        match self {
-            Self::Refused(CallerRefusal::NotRun, _) | Self::RefusedFor(..) => true,
-            Self::Relayed { not_run, .. } => *not_run,
-            Self::Done | Self::Refused(..) => false,
-        }
-    }
-}
-
 /// Outcome of one attempt at a database.
 enum AttemptEnd {
     /// Final reply to the caller.
--- a/crates/daemon/src/entry_role/forwarded_reads.rs
+++ b/crates/daemon/src/entry_role/forwarded_reads.rs
@@ -8,7 +8,8 @@
 };
 
 use super::{
-    caller_session::{CUT_OFF_HINT, CallerReply, CallerSession},
+    caller_reply::{CUT_OFF_HINT, CallerReply},
+    caller_session::CallerSession,
     entry_shared::EntryShared,
     forward_task::FORWARD_TIMEOUT,
     pool_overload::retry_hint,
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -2,6 +2,7 @@
 //! connections to the databases.
 
 mod caller_admission;
+mod caller_reply;
 mod caller_session;
 mod control_links;
 mod database_pool;
--- a/crates/daemon/src/entry_role/session_access.rs
+++ b/crates/daemon/src/entry_role/session_access.rs
@@ -7,7 +7,8 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession, refuse_unassigned},
+    caller_reply::CallerReply,
+    caller_session::{CallerSession, refuse_unassigned},
     statement_run::AssignError,
 };
 use crate::edges::{CallerRefusal, CallerStatement, StatementAction};
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -7,10 +7,8 @@
 };
 
 use super::{
-    caller_session::{CallerReply, CallerSession},
-    entry_shared::EntryShared,
-    idle_timer::IdleTimer,
-    pool_overload::retry_hint,
+    caller_reply::CallerReply, caller_session::CallerSession, entry_shared::EntryShared,
+    idle_timer::IdleTimer, pool_overload::retry_hint,
 };
 use crate::{
     edges::{CallerRefusal, CallerRequest, SessionPhase},
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -6,7 +6,8 @@
 use tokio::time::{Duration, Instant};
 
 use super::{
-    caller_session::{CallerReply, CallerSession, retry_reason},
+    caller_reply::CallerReply,
+    caller_session::{CallerSession, retry_reason},
     request_trace::{RequestTrace, TraceStep},
     retry_decision::RetryDecision,
     run_limits::{RunLimits, TriedUpstreams},
--- a/crates/daemon/src/entry_role/usage_admission.rs
+++ b/crates/daemon/src/entry_role/usage_admission.rs
@@ -2,8 +2,7 @@
 use tokio::time::Instant;
 
 use super::{
-    caller_session::{CallerReply, CallerSession},
-    request_trace::RequestTrace,
+    caller_reply::CallerReply, caller_session::CallerSession, request_trace::RequestTrace,
     usage_gate::UsagePermit,
 };
 
