--- a/crates/daemon/src/entry_role/caller_reply.rs
+++ b/crates/daemon/src/entry_role/caller_reply.rs
@@ -1,6 +1,7 @@
 use tokio::time::Duration;
 
-use crate::edges::CallerRefusal;
+use super::upstream_link::AnswerEnd;
+use crate::edges::{CallerRefusal, UpstreamCode};
 
 /// Hint of the refusal by a host that is cut off from control.
 pub(super) const CUT_OFF_HINT: &str =
@@ -14,10 +15,8 @@
     Relayed {
         /// Encoded rows and result or refusal.
         body: Vec<u8>,
-        /// True for a result, false for a refusal by the database.
-        served: bool,
-        /// True if the database or gateway was too busy to run it.
-        not_run: bool,
+        /// Whether it is a result or a refusal.
+        end: AnswerEnd,
     },
     /// Refused by this host, with a hint for the caller.
     Refused(CallerRefusal, &'static str),
@@ -31,7 +30,7 @@
     pub(super) fn is_not_run(&self) -> bool {
         match self {
             Self::Refused(CallerRefusal::NotRun, _) | Self::RefusedFor(..) => true,
-            Self::Relayed { not_run, .. } => *not_run,
+            Self::Relayed { end, .. } => *end == AnswerEnd::Refused(UpstreamCode::Busy),
             Self::Done | Self::Refused(..) => false,
         }
     }
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -184,7 +184,7 @@
         reply: &CallerReply,
     ) {
         let (outcome, hint) = match reply {
-            CallerReply::Done | CallerReply::Relayed { served: true, .. } => ("served", ""),
+            CallerReply::Done | CallerReply::Relayed { end: AnswerEnd::Done, .. } => ("served", ""),
             CallerReply::Relayed { .. } => ("refused by the database", ""),
             CallerReply::Refused(refusal, hint) => {
                 self.shared.metrics.count_refusal(refusal.name());
@@ -438,11 +438,7 @@
 
     pub(super) fn relay(&mut self, answer: UpstreamAnswer) -> CallerReply {
         self.position = answer.position;
-        CallerReply::Relayed {
-            served: answer.end == AnswerEnd::Done,
-            not_run: answer.end == AnswerEnd::Refused(UpstreamCode::Busy),
-            body: answer.body,
-        }
+        CallerReply::Relayed { end: answer.end, body: answer.body }
     }
 }
 
--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -194,13 +194,13 @@
     ) -> Rc<DatabasePool> {
         let view = self.view.borrow();
         let most_urgent = view.urgent_priority(target.service());
-        let connections =
-            view.service_rule(target.service()).map_or(1, |rule| rule.max_connections);
-        // All hosts that connect have about the same share.
-        let hosts = connections / (share as u32).max(1);
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry((target.key(), gateway));
-        let pool = pool.or_insert_with(|| DatabasePool::new(target, gateway, hosts, share));
+        let pool = pool.or_insert_with(|| {
+            // All hosts that connect have about the same share.
+            let hosts = connection_limit(&view, target.service()) / (share as u32).max(1);
+            DatabasePool::new(target, gateway, hosts, share)
+        });
         pool.set_share(share);
         pool.set_most_urgent(most_urgent);
         pool.clone()
@@ -245,7 +245,7 @@
     /// statement would take longer than all else that a small host does for it.
     fn path_to(&self, service: &Arc<str>, workspace: Option<&Arc<str>>) -> Rc<DatabasePath> {
         let view = self.view.borrow();
-        let limit = view.service_rule(service).map_or(1, |rule| rule.max_connections).max(1);
+        let limit = connection_limit(&view, service);
         let connections = limit.saturating_sub(RESERVED_CONNECTIONS).max(1);
         let inputs = view.path_inputs(connections);
         let mut paths = self.paths.borrow_mut();
@@ -342,6 +342,11 @@
     }
 }
 
+/// Connections that a database of the service accepts; at least one.
+fn connection_limit(view: &EntryView, service: &str) -> u32 {
+    view.service_rule(service).map_or(1, |rule| rule.max_connections).max(1)
+}
+
 /// True unless the database is gone or the service no longer configured.
 fn is_known(view: &EntryView, target: &TargetKey) -> bool {
     match target {
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -28,7 +28,7 @@
 
 /// Time for which a forwarded statement waits for a connection at its gateway; the
 /// forwarding host retries refused statements until their own deadline.
-pub(super) const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a forwarded statement at the database; the forwarding host usually
 /// ends it sooner, by the timeout of its route.
 pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -26,8 +26,9 @@
 /// Time without an answer after which a primary is probed: longer than almost all
 /// statements take, shorter than the usual timeouts.
 const PROBE_AFTER: Duration = Duration::from_millis(300);
-/// Time for which a read waits for one database before it chooses again: another
-/// one may have become free or reached the required position.
+/// Time for which a read waits for one database, or any statement for a link to one
+/// gateway, before it chooses again: another one may have become free or reached the
+/// required position.
 const REROUTE_INTERVAL: Duration = Duration::from_millis(40);
 /// The same for a statement that one database must run, where routes have several
 /// priorities: whether it can still be served is checked again.
@@ -159,17 +160,13 @@
             },
         );
         let connect_deadline = limits.connect_deadline();
-        let until = match limits.may_reroute {
-            true => connect_deadline.min(Instant::now() + REROUTE_INTERVAL),
-            false if pool.gateway().is_none() && has_priorities(shared, service) => {
-                connect_deadline.min(Instant::now() + FORECAST_INTERVAL)
-            }
-            // Another gateway may have room or be reachable.
-            false if pool.gateway().is_some() => {
-                connect_deadline.min(Instant::now() + REROUTE_INTERVAL)
-            }
-            false => connect_deadline,
+        // Another database, or another gateway, may have room or be reachable.
+        let interval = match limits.may_reroute || pool.gateway().is_some() {
+            true => Some(REROUTE_INTERVAL),
+            false => has_priorities(shared, service).then_some(FORECAST_INTERVAL),
         };
+        let recheck_at = interval.map(|interval| Instant::now() + interval);
+        let until = recheck_at.map_or(connect_deadline, |at| at.min(connect_deadline));
         let workspace = limits.workspace();
         let forecast = pool.forecast(now, statement, workspace, connect_deadline);
         if let QueueForecast::Refuse { retry_after } = forecast {
--- a/crates/decisions/src/entry_role/early_refusal.rs
+++ b/crates/decisions/src/entry_role/early_refusal.rs
@@ -65,9 +65,9 @@
         })
 }
 
-/// Statements of the same or a higher priority that go first, as `next_in_queue` orders
-/// them. Less urgent ones never count,
-/// nor those of workspaces with more recent work, which wait for the others.
+/// Statements of the same or a higher priority that go first, by an estimate of the order
+/// of `next_in_queue` that takes all objectives for equally long. Less urgent ones never
+/// count, nor those of workspaces with more recent work, which wait for the others.
 fn count_ahead(
     others: impl Iterator<Item = RankedStatement> + Clone,
     ranked: &RankedStatement,
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -297,11 +297,6 @@
         }
     }
 
-    /// Number of hosts that share the databases' connections.
-    pub fn entry_hosts(&self) -> u32 {
-        self.entry_hosts
-    }
-
     /// True while the lease is valid.
     pub fn has_lease(&self, now: Moment) -> bool {
         self.lease.is_valid(now, self.applied)
--- a/crates/decisions/src/entry_role/gateway_map.rs
+++ b/crates/decisions/src/entry_role/gateway_map.rs
@@ -84,9 +84,7 @@
         entry_hosts: u32,
         connections: u32,
     ) -> DatabasePath {
-        let all_direct =
-            connections >= CONNECTIONS_PER_GATEWAY * entry_hosts && entry_hosts <= MAX_DIRECT_HOSTS;
-        if all_direct || self.sites.is_empty() {
+        if self.all_connect(entry_hosts, connections) {
             return DatabasePath::Direct { connections: connections / entry_hosts.max(1) };
         }
         let chosen = self.gateways(service, connections);
@@ -116,9 +114,7 @@
         connections: u32,
     ) -> DatabasePath {
         let direct = self.path_to(me, data_centre, service, entry_hosts, connections);
-        let everyone_connects =
-            entry_hosts <= MAX_DIRECT_HOSTS && connections >= CONNECTIONS_PER_GATEWAY * entry_hosts;
-        if everyone_connects || self.sites.is_empty() {
+        if self.all_connect(entry_hosts, connections) {
             return direct;
         }
         let key = [service.as_bytes(), b"/", workspace.as_bytes()].concat();
@@ -130,6 +126,12 @@
         }
     }
 
+    /// True if every host connects to the databases itself.
+    fn all_connect(&self, entry_hosts: u32, connections: u32) -> bool {
+        let suffices = connections >= CONNECTIONS_PER_GATEWAY * entry_hosts;
+        self.sites.is_empty() || suffices && entry_hosts <= MAX_DIRECT_HOSTS
+    }
+
     /// The gateways of a service: as many in each data centre if the connections
     /// suffice, or else the best ones of all hosts.
     fn gateways(&self, service: &str, connections: u32) -> Vec<DataCentreHosts> {
