Send changes of databases together, and from the leader only

Entry hosts told followers only with their next renewal, two seconds later, that the leader grants to them, and each change was a message of its own.

An entry host now tells the other control hosts when the first grant arrives. Changes within 20 ms go out as one message; a single one is sent at once. A change of a database that has left meanwhile is dropped. The pace of redirects is the same type, SendPace.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -3,10 +3,11 @@
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
-    entry_role::{GatewayMap, RenewalPace, StateConfirmations},
+    entry_role::{GatewayMap, StateConfirmations},
     identity::HostId,
     instances::{InstanceDeparture, InstanceRecord},
     primaries::{ServiceTerm, TermPhase},
+    send_pace::SendPace,
 };
 use tokio::{
     sync::mpsc,
@@ -66,8 +67,8 @@
     granted_by: Option<HostId>,
     events: mpsc::UnboundedSender<LinkEvent>,
     confirmations: StateConfirmations,
-    redirects: RenewalPace,
-    confirms: RenewalPace,
+    redirects: SendPace,
+    confirms: SendPace,
     /// A configuration could not be unpacked: states without one are not applied until
     /// it comes again, since leases would then prove a configuration that this host
     /// lacks.
@@ -89,8 +90,8 @@
             granted_by: None,
             events,
             confirmations: StateConfirmations::default(),
-            redirects: RenewalPace::new(REDIRECT_INTERVAL),
-            confirms: RenewalPace::new(CONFIRM_INTERVAL),
+            redirects: SendPace::new(REDIRECT_INTERVAL),
+            confirms: SendPace::new(CONFIRM_INTERVAL),
             lacks_routes: false,
         };
         links.dial_all(&seeds);
@@ -177,7 +178,9 @@
         match update {
             EntryUpdate::Grant { sent_at, duration, required_index, entry_hosts } => {
                 self.leader = Some(host);
-                self.granted_by = Some(host);
+                if self.granted_by.replace(host) != Some(host) {
+                    self.renew_followers(host);
+                }
                 shared.view.borrow_mut().extend_lease(
                     sent_at,
                     duration,
@@ -317,6 +320,14 @@
         self.redial_silent_links(now);
     }
 
+    /// Tells the other control hosts that the leader grants leases to this host, so that
+    /// they need not send it what the leader sends.
+    fn renew_followers(&mut self, leader: HostId) {
+        let followers = self.links.keys().copied().filter(|host| *host != leader);
+        let followers: Vec<HostId> = followers.collect();
+        followers.into_iter().for_each(|host| self.renew(host));
+    }
+
     fn renew_leader(&mut self) {
         match self.leader {
             Some(leader) => self.renew(leader),
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -17,10 +17,11 @@
     clock::Moment,
     control_state::{ControlCommand, ControlState},
     identity::HostId,
-    instances::InstanceDirectory,
+    instances::{InstanceDirectory, InstanceRecord},
     leases::LeaseTable,
     primaries::{SuspicionPoll, TermChange},
     routes::PackedRoutes,
+    send_pace::SendPace,
     usage::{UsageBounds, UsageLedger},
 };
 
@@ -29,6 +30,9 @@
 /// host.
 const COMPACTION_ENTRIES: usize = 64;
 
+/// Shortest time between changes of databases that are sent to entry hosts; those in
+/// between are sent together.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Silence of the control leader before an election: many times the latency
 /// between data centres, and short compared with an entry host's lease.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
@@ -179,6 +183,9 @@
     pub(super) term_history: TermHistory,
     /// Databases that changed lately, for entry hosts that stop following the leader.
     pub(super) recent_changes: RecentChanges,
+    /// Databases whose changes have not been sent to entry hosts yet.
+    pub(super) unsent_changes: BTreeMap<Arc<str>, InstanceRecord>,
+    pub(super) change_pace: SendPace,
     /// Changes by the commands applied in this step.
     pending_changes: PendingChanges,
     pub(super) effects: Vec<ControlEffect>,
@@ -208,6 +215,8 @@
             entry_state_index: control.applied,
             term_history: TermHistory::starting_at(control.applied),
             recent_changes: RecentChanges::default(),
+            unsent_changes: BTreeMap::new(),
+            change_pace: SendPace::new(CHANGE_INTERVAL),
             control,
             agreement,
             directory: InstanceDirectory::default(),
@@ -254,12 +263,14 @@
         while self.pending_changes.any {
             self.publish_changes(now);
         }
+        self.send_changed_instances(now);
         std::mem::take(&mut self.effects)
     }
 
     /// Time at which the next [`ControlEvent::Tick`] is due.
     pub fn next_due(&self, now: Moment) -> Moment {
         let agreement = self.agreement.next_due();
+        let agreement = self.change_pace.due().map_or(agreement, |due| agreement.min(due));
         match &self.leader_state {
             Some(leader_state) => leader_state
                 .changes
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -19,7 +19,7 @@
             }
             DirectoryChange::Changed => {
                 self.log_instance_change(&record);
-                self.send_changed_instances(now, vec![record.clone()]);
+                self.gather_changed_instances(now, vec![record.clone()]);
                 self.broadcast_to_peers(&ControlMessage::Announced(vec![record]));
                 self.run_leader_tasks(now);
             }
@@ -50,7 +50,7 @@
     fn publish_instances(&mut self, now: Moment, changed: Vec<InstanceRecord>) -> bool {
         let any = !changed.is_empty();
         if any {
-            self.send_changed_instances(now, changed);
+            self.gather_changed_instances(now, changed);
         }
         any
     }
@@ -68,6 +68,7 @@
     /// Records a departure announced to this host and forwards it.
     pub(super) fn handle_departure(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.record_departure(&departure) {
+            self.drop_unsent(std::slice::from_ref(&departure));
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(vec![departure.clone()]));
             self.broadcast_to_peers(&ControlMessage::Departed(vec![departure]));
             self.run_leader_tasks(now);
@@ -80,6 +81,7 @@
             .filter(|departure| self.directory.record_departure(departure))
             .collect();
         if !gone.is_empty() {
+            self.drop_unsent(&gone);
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(gone));
             self.run_leader_tasks(now);
         }
@@ -89,6 +91,7 @@
         for departure in &departures {
             self.directory.remove(departure);
         }
+        self.drop_unsent(&departures);
         self.broadcast_to_entry_hosts(EntryUpdate::Expired(departures));
     }
 
@@ -97,6 +100,7 @@
     pub(super) fn expire_silent_instances(&mut self, now: Moment) {
         let silent = self.directory.expire(now, self.settings.announcement_lifetime);
         if !silent.is_empty() {
+            self.drop_unsent(&silent);
             self.broadcast_to_entry_hosts(EntryUpdate::Expired(silent.clone()));
             for departure in silent.clone() {
                 self.propose(now, ControlCommand::InstanceGone(departure));
@@ -105,6 +109,19 @@
         }
     }
 
+    /// Forgets gathered changes of databases that are gone; sent later, they would bring
+    /// them back.
+    fn drop_unsent(&mut self, departures: &[InstanceDeparture]) {
+        for departure in departures {
+            let is_gone = |record: &InstanceRecord| {
+                departure.born_ms.is_none_or(|born| record.key.born_ms <= born)
+            };
+            if self.unsent_changes.get(&departure.id).is_some_and(is_gone) {
+                self.unsent_changes.remove(&departure.id);
+            }
+        }
+    }
+
     fn log_instance_change(&mut self, record: &InstanceRecord) {
         let what = match (record.draining, record.role) {
             (true, _) => "is draining",
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -121,8 +121,13 @@
             (InstanceFeed::Unsent, false) if may_find_leader => return,
             (InstanceFeed::Unsent, false) => (InstanceFeed::Complete, self.all_instances()),
             (InstanceFeed::Withheld, false) => {
-                let changed = self.recent_changes.within(now, silence + LEADER_SILENCE);
-                (InstanceFeed::Complete, changed.unwrap_or_else(|| self.all_instances()))
+                let records = match self.recent_changes.within(now, silence + LEADER_SILENCE) {
+                    Some(ids) => {
+                        ids.iter().filter_map(|id| self.directory.get(id)).cloned().collect()
+                    }
+                    None => self.all_instances(),
+                };
+                (InstanceFeed::Complete, records)
             }
             (InstanceFeed::Withheld, true) | (InstanceFeed::Complete, _) => return,
         };
@@ -138,10 +143,21 @@
         self.directory.records().cloned().collect()
     }
 
-    /// Sends changed records of databases to the entry hosts that do not get them from
-    /// the leader.
-    pub(super) fn send_changed_instances(&mut self, now: Moment, records: Vec<InstanceRecord>) {
+    /// Gathers changed records of databases for the entry hosts.
+    pub(super) fn gather_changed_instances(&mut self, now: Moment, records: Vec<InstanceRecord>) {
         self.recent_changes.record(now, &records);
+        let by_id = records.into_iter().map(|record| (record.key.id.clone(), record));
+        self.unsent_changes.extend(by_id);
+        self.change_pace.request(now);
+    }
+
+    /// Sends the gathered records, when they are due, to the entry hosts that do not get
+    /// them from the leader.
+    pub(super) fn send_changed_instances(&mut self, now: Moment) {
+        if !self.change_pace.take_due(now) {
+            return;
+        }
+        let records: Vec<_> = std::mem::take(&mut self.unsent_changes).into_values().collect();
         for host in self.linked_entry_hosts() {
             let Some(entry) = self.entry_hosts.get(&host) else {
                 continue;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod requests;
 pub mod routes;
 pub mod routing;
+pub mod send_pace;
 pub mod sessions;
 pub mod statements;
 pub mod usage;
--- a/crates/decisions/tests/renewal_pace.rs
+++ b/crates/decisions/tests/send_pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornstack_decisions::{clock::Moment, entry_role::RenewalPace};
+use hawthornstack_decisions::{clock::Moment, send_pace::SendPace};
 
 const INTERVAL: Duration = Duration::from_millis(100);
 const ROUND_TRIP: Duration = Duration::from_millis(1);
@@ -11,7 +11,7 @@
 /// renewed once a round trip, five times each, and the leader stayed overloaded.
 #[test]
 fn redirects_are_followed_at_a_limited_rate() {
-    let mut pace = RenewalPace::new(INTERVAL);
+    let mut pace = SendPace::new(INTERVAL);
     let (start, mut now, mut renewals) =
         (Moment::from_millis(1_000), Moment::from_millis(1_000), 0);
     while now.since(start) < Duration::from_secs(1) {
@@ -26,7 +26,7 @@
 /// hosts that find the new leader late, and against a request that is forgotten.
 #[test]
 fn single_redirects_are_followed_at_once() {
-    let mut pace = RenewalPace::new(INTERVAL);
+    let mut pace = SendPace::new(INTERVAL);
     let mut now = Moment::from_millis(1_000);
     for _ in 0..3 {
         pace.request(now);
