--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -49,27 +49,19 @@
     pub(super) fn handle_entry_report(&mut self, now: Moment, host: HostId, report: EntryReport) {
         match report {
             EntryReport::Renew { sent_at, applied, received, routes_version, follows, leaving } => {
-                let received = received.max(applied);
-                let previous = self.entry_hosts.get(&host).cloned();
+                let previous = self.entry_hosts.remove(&host);
                 let previous = previous.unwrap_or_else(|| EntryProgress::linked(now, None));
+                let has_advanced = previous.applied < applied;
                 let silence = now.since(previous.last_heard_at);
-                let awaited = previous.sent_state.filter(|sent| sent.index > received);
-                let sent_state = awaited.map(|sent| match received > previous.received {
-                    true => SentState { progress_at: now, ..sent },
-                    false => sent,
-                });
                 let progress = EntryProgress {
                     applied,
-                    received,
                     routes_version,
                     follows,
-                    sent_state,
-                    linked: true,
                     leaving,
+                    linked: true,
                     last_heard_at: now,
-                    ..previous
+                    ..previous.confirmed(now, received.max(applied))
                 };
-                let has_advanced = previous.applied < applied;
                 self.entry_hosts.insert(host, progress);
                 self.send_missing_instances(now, host, silence);
                 self.renew_lease(now, host, sent_at, has_advanced);
@@ -158,6 +150,9 @@
             return;
         }
         let records: Vec<_> = std::mem::take(&mut self.unsent_changes).into_values().collect();
+        if records.is_empty() {
+            return;
+        }
         for host in self.linked_entry_hosts() {
             let Some(entry) = self.entry_hosts.get(&host) else {
                 continue;
--- a/crates/decisions/src/control_role/entry_progress.rs
+++ b/crates/decisions/src/control_role/entry_progress.rs
@@ -7,7 +7,9 @@
 pub(super) struct EntryProgress {
     /// Its data centre, if it named one.
     pub(super) data_centre: Option<Arc<str>>,
+    /// Index up to which it has confirmed all states.
     pub(super) applied: u64,
+    /// Index of the newest state that has arrived; at least `applied`.
     pub(super) received: u64,
     pub(super) routes_version: u64,
     /// The leader whose grants it gets, and from which it learns of databases.
@@ -41,6 +43,17 @@
             sent_hosts_hash: 0,
         }
     }
+
+    /// This state after the host has reported that all states up to `received` have
+    /// arrived.
+    pub(super) fn confirmed(self, now: Moment, received: u64) -> Self {
+        let awaited = self.sent_state.filter(|sent| sent.index > received);
+        let sent_state = awaited.map(|sent| match received > self.received {
+            true => SentState { progress_at: now, ..sent },
+            false => sent,
+        });
+        Self { received, sent_state, ..self }
+    }
 }
 
 /// The newest state sent to an entry host. The link keeps the order, so that the next
