Send all terms to hosts of an older build; cover the new fields of frames

Renewals now leave received out in older builds, and such a host is always sent all terms (test older_builds_get_all_terms).

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -340,7 +340,7 @@
         let report = EntryReport::Renew {
             sent_at: self.shared.now(),
             applied: self.confirmations.confirmed(),
-            received: view.applied(),
+            received: Some(view.applied()),
             follows: self.granted_by.filter(|host| self.leader == Some(*host)),
             routes_version: view.routes_version(),
             leaving: self.shared.stage.get() != ShutdownStage::Serving,
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -55,12 +55,13 @@
                 let silence = now.since(previous.last_heard_at);
                 let progress = EntryProgress {
                     applied,
+                    takes_changes: received.is_some(),
                     routes_version,
                     follows,
                     leaving,
                     linked: true,
                     last_heard_at: now,
-                    ..previous.confirmed(now, received.max(applied))
+                    ..previous.confirmed(now, received.unwrap_or(0).max(applied))
                 };
                 self.entry_hosts.insert(host, progress);
                 self.send_missing_instances(now, host, silence);
@@ -330,7 +331,9 @@
         let routes_version = routes.as_ref().map_or(known_version, |table| table.version);
         let progress_at = awaited.map_or(now, |sent| sent.progress_at);
         entry.sent_state = Some(SentState { index, routes_version, progress_at });
-        let (since, terms) = match self.term_history.changed_since(known_index) {
+        let takes_changes = entry.takes_changes;
+        let changed = self.term_history.changed_since(known_index);
+        let (since, terms) = match changed.filter(|_| takes_changes) {
             Some(changed) => {
                 let terms = changed.filter_map(|service| self.control.terms.get(service));
                 (known_index, terms.cloned().collect())
--- a/crates/decisions/src/control_role/entry_progress.rs
+++ b/crates/decisions/src/control_role/entry_progress.rs
@@ -11,6 +11,8 @@
     pub(super) applied: u64,
     /// Index of the newest state that has arrived; at least `applied`.
     pub(super) received: u64,
+    /// False for older builds, which take the terms of a state for all of them.
+    pub(super) takes_changes: bool,
     pub(super) routes_version: u64,
     /// The leader whose grants it gets, and from which it learns of databases.
     pub(super) follows: Option<HostId>,
@@ -32,6 +34,7 @@
             data_centre,
             applied: 0,
             received: 0,
+            takes_changes: false,
             routes_version: 0,
             follows: None,
             sent_state: None,
--- a/crates/decisions/src/control_role/messages.rs
+++ b/crates/decisions/src/control_role/messages.rs
@@ -39,9 +39,9 @@
         /// Index of the control log that it has applied.
         applied: u64,
         /// Index of the newest state that it has received. At least `applied`, which
-        /// waits for open writes; older builds do not send it.
+        /// waits for open writes; older builds do not send it, and take all terms only.
         #[serde(default)]
-        received: u64,
+        received: Option<u64>,
         /// Version of the configuration that it has.
         routes_version: u64,
         /// The leader whose grants it gets on an open link; older builds do not send it.
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -261,7 +261,7 @@
         let report = EntryReport::Renew {
             sent_at: self.now,
             applied,
-            received: applied,
+            received: Some(applied),
             follows: None,
             routes_version: 0,
             leaving: false,
--- a/crates/decisions/tests/instance_feed.rs
+++ b/crates/decisions/tests/instance_feed.rs
@@ -34,7 +34,7 @@
     let report = EntryReport::Renew {
         sent_at: world.now,
         applied: 0,
-        received: 0,
+        received: Some(0),
         routes_version: 0,
         follows,
         leaving: false,
--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -295,7 +295,7 @@
             let report = EntryReport::Renew {
                 sent_at: self.world.now + host.offset,
                 applied: host.view.applied(),
-                received: host.view.applied(),
+                received: Some(host.view.applied()),
                 follows: None,
                 routes_version: host.view.routes_version(),
                 leaving: false,
--- a/crates/decisions/tests/log_resends.rs
+++ b/crates/decisions/tests/log_resends.rs
@@ -23,7 +23,7 @@
     let report = EntryReport::Renew {
         sent_at: world.now,
         applied: 0,
-        received: 0,
+        received: Some(0),
         routes_version: 0,
         follows: None,
         leaving: false,
--- a/crates/decisions/tests/state_feed.rs
+++ b/crates/decisions/tests/state_feed.rs
@@ -23,18 +23,20 @@
     view: EntryView,
     /// Updates of the world that are applied.
     seen: usize,
+    /// False for a build that takes the terms of a state for all of them.
+    reports_received: bool,
 }
 
 impl FedHost {
     fn new() -> Self {
-        Self { view: EntryView::new(Arc::from("a")), seen: 0 }
+        Self { view: EntryView::new(Arc::from("a")), seen: 0, reports_received: true }
     }
 
     fn renew(&self, world: &mut ControlWorld, at: HostId) {
         let report = EntryReport::Renew {
             sent_at: world.now,
             applied: self.view.applied(),
-            received: self.view.applied(),
+            received: self.reports_received.then(|| self.view.applied()),
             follows: None,
             routes_version: self.view.routes_version(),
             leaving: false,
@@ -143,6 +145,26 @@
     assert_eq!(known_services(&world, &host, leader), (2, 2));
 }
 
+/// Guards against an older build that loses the terms of all other services, since it takes
+/// the changes that it is sent for all terms.
+#[test]
+fn older_builds_get_all_terms() {
+    let (mut world, leader, mut host) = world_with_entry();
+    host.reports_received = false;
+    host.renew(&mut world, leader);
+    for number in 0..4 {
+        announce_primary(&mut world, leader, number);
+        world.run(SECOND / 10);
+    }
+    for (_, update) in &world.updates[host.seen..] {
+        if let EntryUpdate::State { since, .. } = update {
+            assert_eq!(*since, 0);
+        }
+    }
+    host.receive(&world, |_| false);
+    assert_eq!(known_services(&world, &host, leader), (4, 4));
+}
+
 /// Guards against whole configurations that queue on a narrow link: the host gets the one on
 /// its way and then the newest.
 #[test]
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -331,7 +331,10 @@
 
 fn entry_reports() -> Vec<Value> {
     vec![
-        json!({ "Renew": { "sent_at": 900, "applied": 12, "routes_version": 9, "leaving": true } }),
+        json!({ "Renew": {
+            "sent_at": 900, "applied": 12, "received": 14, "routes_version": 9, "follows": 1,
+            "leaving": true
+        } }),
         json!({ "PrimaryReachable": { "service": "books", "number": 5, "reachable": false } }),
         json!({ "UsageRequest": {
             "sent_at": 900, "needs": [{ "workspace": "books", "tokens": 3 }]
@@ -350,7 +353,9 @@
             "sent_at": 900, "duration": duration(4, 0), "required_index": 12, "entry_hosts": 60
         } }),
         json!({ "NotLeader": { "leader": 1 } }),
-        json!({ "State": { "index": 12, "routes": packed_routes(), "terms": terms } }),
+        json!({ "State": {
+            "index": 12, "since": 10, "routes": packed_routes(), "terms": terms
+        } }),
         json!({ "Hosts": [1, 2] }),
         json!({ "EntryHosts": [4, 5] }),
         json!({ "GatewayHosts": [{ "data_centre": "a", "hosts": [4, 5] }] }),
