Make instance_feed notice copies from followers

With withholding switched off changes_reach_a_host_once still passed: the host's link was younger than the time in which followers wait for it to find the leader. The tests now start after that time; with withholding off all four fail.

--- a/crates/decisions/tests/instance_feed.rs
+++ b/crates/decisions/tests/instance_feed.rs
@@ -51,7 +51,11 @@
         world.handle_event(host, ControlEvent::EntryLinked(ENTRY, None));
         renew(&mut world, host, Some(leader));
     }
-    world.run(SECOND / 10);
+    // By then a host that follows nobody is sent all databases.
+    world.run(2 * SECOND);
+    for host in CONTROL_HOSTS {
+        renew(&mut world, host, Some(leader));
+    }
     forget_updates(&mut world);
     (world, leader)
 }
