Derive gathered changes of databases from the directory

Read again: gathered changes kept copies of records, so that each of four ways in which a database leaves had to drop its copy, with a check that the directory has already. Changes are gathered as ids now, and the records are looked up when they are sent, as for hosts that stop to follow the leader: a database that is gone is not found. drop_unsent and its calls are removed. What a host knows or has on its way is one function of EntryProgress, and a configuration is packed only if a state is sent. The leader on another host is found by one function instead of three filters. No change of behaviour meant; not measured.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -17,7 +17,7 @@
     clock::Moment,
     control_state::{ControlCommand, ControlState},
     identity::HostId,
-    instances::{InstanceDirectory, InstanceRecord},
+    instances::InstanceDirectory,
     leases::LeaseTable,
     primaries::{SuspicionPoll, TermChange},
     routes::PackedRoutes,
@@ -183,8 +183,8 @@
     pub(super) term_history: TermHistory,
     /// Databases that changed lately, for entry hosts that stop following the leader.
     pub(super) recent_changes: RecentChanges,
-    /// Databases whose changes have not been sent to entry hosts yet.
-    pub(super) unsent_changes: BTreeMap<Arc<str>, InstanceRecord>,
+    /// Ids of databases whose changes have not been sent to entry hosts yet.
+    pub(super) unsent_changes: BTreeSet<Arc<str>>,
     pub(super) change_pace: SendPace,
     /// Changes by the commands applied in this step.
     pending_changes: PendingChanges,
@@ -215,7 +215,7 @@
             entry_state_index: control.applied,
             term_history: TermHistory::starting_at(control.applied),
             recent_changes: RecentChanges::default(),
-            unsent_changes: BTreeMap::new(),
+            unsent_changes: BTreeSet::new(),
             change_pace: SendPace::new(CHANGE_INTERVAL),
             control,
             agreement,
@@ -301,6 +301,11 @@
         self.leader_state.is_some() && self.agreement.is_current_leader(now)
     }
 
+    /// The leader that this host follows; `None` if it leads itself or knows no leader.
+    pub(super) fn leader_elsewhere(&self) -> Option<HostId> {
+        self.agreement.leader().filter(|leader| *leader != self.settings.host)
+    }
+
     fn tick(&mut self, now: Moment) {
         self.step_agreement(now, AgreementEvent::Tick);
         self.run_leader_tasks(now);
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -13,13 +13,13 @@
             DirectoryChange::Refreshed => {
                 // Only the leader expires silent databases, so only it needs
                 // repeated announcements.
-                if let Some(leader) = self.agreement.leader().filter(|l| *l != self.settings.host) {
+                if let Some(leader) = self.leader_elsewhere() {
                     self.send_peer(leader, ControlMessage::Announced(vec![record]));
                 }
             }
             DirectoryChange::Changed => {
                 self.log_instance_change(&record);
-                self.gather_changed_instances(now, vec![record.clone()]);
+                self.gather_changed_instances(now, std::slice::from_ref(&record));
                 self.broadcast_to_peers(&ControlMessage::Announced(vec![record]));
                 self.run_leader_tasks(now);
             }
@@ -30,7 +30,7 @@
         records.retain(|record| {
             self.directory.record_announcement(now, record) == DirectoryChange::Changed
         });
-        if self.publish_instances(now, records) {
+        if self.publish_instances(now, &records) {
             self.run_leader_tasks(now);
         }
     }
@@ -43,11 +43,11 @@
         mut records: Vec<InstanceRecord>,
     ) -> bool {
         records.retain(|record| self.directory.restore(now, record) == DirectoryChange::Changed);
-        self.publish_instances(now, records)
+        self.publish_instances(now, &records)
     }
 
     /// Sends changed records to entry hosts; true if there are any.
-    fn publish_instances(&mut self, now: Moment, changed: Vec<InstanceRecord>) -> bool {
+    fn publish_instances(&mut self, now: Moment, changed: &[InstanceRecord]) -> bool {
         let any = !changed.is_empty();
         if any {
             self.gather_changed_instances(now, changed);
@@ -68,7 +68,6 @@
     /// Records a departure announced to this host and forwards it.
     pub(super) fn handle_departure(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.record_departure(&departure) {
-            self.drop_unsent(std::slice::from_ref(&departure));
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(vec![departure.clone()]));
             self.broadcast_to_peers(&ControlMessage::Departed(vec![departure]));
             self.run_leader_tasks(now);
@@ -81,7 +80,6 @@
             .filter(|departure| self.directory.record_departure(departure))
             .collect();
         if !gone.is_empty() {
-            self.drop_unsent(&gone);
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(gone));
             self.run_leader_tasks(now);
         }
@@ -91,7 +89,6 @@
         for departure in &departures {
             self.directory.remove(departure);
         }
-        self.drop_unsent(&departures);
         self.broadcast_to_entry_hosts(EntryUpdate::Expired(departures));
     }
 
@@ -100,7 +97,6 @@
     pub(super) fn expire_silent_instances(&mut self, now: Moment) {
         let silent = self.directory.expire(now, self.settings.announcement_lifetime);
         if !silent.is_empty() {
-            self.drop_unsent(&silent);
             self.broadcast_to_entry_hosts(EntryUpdate::Expired(silent.clone()));
             for departure in silent.clone() {
                 self.propose(now, ControlCommand::InstanceGone(departure));
@@ -109,19 +105,6 @@
         }
     }
 
-    /// Forgets gathered changes of databases that are gone; sent later, they would bring
-    /// them back.
-    fn drop_unsent(&mut self, departures: &[InstanceDeparture]) {
-        for departure in departures {
-            let is_gone = |record: &InstanceRecord| {
-                departure.born_ms.is_none_or(|born| record.key.born_ms <= born)
-            };
-            if self.unsent_changes.get(&departure.id).is_some_and(is_gone) {
-                self.unsent_changes.remove(&departure.id);
-            }
-        }
-    }
-
     fn log_instance_change(&mut self, record: &InstanceRecord) {
         let what = match (record.draining, record.role) {
             (true, _) => "is draining",
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -1,4 +1,8 @@
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -11,14 +15,11 @@
     instances::InstanceRecord, routes::PackedRoutes,
 };
 
-/// Time without a confirmation after which states are sent again. It is longer than the
-/// largest configuration takes on a narrow link, where repeats would delay what follows.
-const STATE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which a host that has opened a link may find the leader before other control
 /// hosts send it all databases, which the leader sends as well.
 const LEADER_SEARCH_TIME: Duration = Duration::from_secs(1);
 /// Longest time before its renewal in which a host that follows the leader may have
-/// missed messages of the leader: it opens a silent link again after this time.
+/// missed messages of the leader; it opens a silent link again sooner.
 const LEADER_SILENCE: Duration = Duration::from_secs(2);
 /// Silence after which a host whose lease has expired is removed from the
 /// holders.
@@ -95,8 +96,7 @@
     /// True if the leader, which is another host, sends the entry host the changes of
     /// databases: each change would otherwise reach it from every control host.
     fn is_fed_by_leader(&self, entry: &EntryProgress) -> bool {
-        let leader = self.agreement.leader().filter(|leader| *leader != self.settings.host);
-        leader.is_some() && entry.follows == leader
+        self.leader_elsewhere().is_some_and(|leader| entry.follows == Some(leader))
     }
 
     /// Sends an entry host the databases that it may lack, once it does not get them
@@ -107,20 +107,15 @@
             return;
         };
         let may_find_leader =
-            self.agreement.leader().is_some_and(|leader| leader != self.settings.host)
-                && now.since(entry.linked_at) < LEADER_SEARCH_TIME;
+            self.leader_elsewhere().is_some() && now.since(entry.linked_at) < LEADER_SEARCH_TIME;
         let (next, records) = match (entry.instances, self.is_fed_by_leader(entry)) {
             (InstanceFeed::Unsent, true) => (InstanceFeed::Withheld, Vec::new()),
             (InstanceFeed::Unsent, false) if may_find_leader => return,
             (InstanceFeed::Unsent, false) => (InstanceFeed::Complete, self.all_instances()),
             (InstanceFeed::Withheld, false) => {
-                let records = match self.recent_changes.within(now, silence + LEADER_SILENCE) {
-                    Some(ids) => {
-                        ids.iter().filter_map(|id| self.directory.get(id)).cloned().collect()
-                    }
-                    None => self.all_instances(),
-                };
-                (InstanceFeed::Complete, records)
+                let changed = self.recent_changes.within(now, silence + LEADER_SILENCE);
+                let records = changed.map(|ids| self.known_instances(&ids));
+                (InstanceFeed::Complete, records.unwrap_or_else(|| self.all_instances()))
             }
             (InstanceFeed::Withheld, true) | (InstanceFeed::Complete, _) => return,
         };
@@ -136,21 +131,26 @@
         self.directory.records().cloned().collect()
     }
 
-    /// Gathers changed records of databases for the entry hosts.
-    pub(super) fn gather_changed_instances(&mut self, now: Moment, records: Vec<InstanceRecord>) {
-        self.recent_changes.record(now, &records);
-        let by_id = records.into_iter().map(|record| (record.key.id.clone(), record));
-        self.unsent_changes.extend(by_id);
+    /// Records of the databases with these ids, without those that are gone.
+    fn known_instances(&self, ids: &BTreeSet<Arc<str>>) -> Vec<InstanceRecord> {
+        ids.iter().filter_map(|id| self.directory.get(id)).cloned().collect()
+    }
+
+    /// Gathers databases that changed for the entry hosts.
+    pub(super) fn gather_changed_instances(&mut self, now: Moment, records: &[InstanceRecord]) {
+        self.recent_changes.record(now, records);
+        self.unsent_changes.extend(records.iter().map(|record| record.key.id.clone()));
         self.change_pace.request(now);
     }
 
-    /// Sends the gathered records, when they are due, to the entry hosts that do not get
+    /// Sends the gathered databases, when they are due, to the entry hosts that do not get
     /// them from the leader.
     pub(super) fn send_changed_instances(&mut self, now: Moment) {
         if !self.change_pace.take_due(now) {
             return;
         }
-        let records: Vec<_> = std::mem::take(&mut self.unsent_changes).into_values().collect();
+        let changed = std::mem::take(&mut self.unsent_changes);
+        let records = self.known_instances(&changed);
         if records.is_empty() {
             return;
         }
@@ -312,31 +312,29 @@
     /// one requests the newest.
     fn send_state(&mut self, now: Moment, host: HostId) {
         let index = self.entry_state_index;
-        let packed = self.pack_current_routes();
-        let Some(entry) = self.entry_hosts.get_mut(&host) else {
+        let Some(entry) = self.entry_hosts.get(&host) else {
             return;
         };
-        let awaited =
-            entry.sent_state.filter(|sent| now.since(sent.progress_at) < STATE_RETRY_INTERVAL);
-        let known_index = awaited.map_or(entry.received, |sent| sent.index);
-        let sent_version = awaited.map_or(0, |sent| sent.routes_version);
-        let known_version = entry.routes_version.max(sent_version);
-        if known_index >= index {
+        let known = entry.known_state(now);
+        if known.index >= index {
             return;
         }
-        let routes = packed.filter(|table| table.version > known_version);
-        if routes.is_some() && sent_version > entry.routes_version {
+        let takes_changes = entry.takes_changes;
+        let is_configuration_awaited = known.routes_version > entry.routes_version;
+        let routes =
+            self.pack_current_routes().filter(|table| table.version > known.routes_version);
+        if routes.is_some() && is_configuration_awaited {
             return;
         }
-        let routes_version = routes.as_ref().map_or(known_version, |table| table.version);
-        let progress_at = awaited.map_or(now, |sent| sent.progress_at);
-        entry.sent_state = Some(SentState { index, routes_version, progress_at });
-        let takes_changes = entry.takes_changes;
-        let changed = self.term_history.changed_since(known_index);
+        let routes_version = routes.as_ref().map_or(known.routes_version, |table| table.version);
+        if let Some(entry) = self.entry_hosts.get_mut(&host) {
+            entry.sent_state = Some(SentState { index, routes_version, ..known });
+        }
+        let changed = self.term_history.changed_since(known.index);
         let (since, terms) = match changed.filter(|_| takes_changes) {
             Some(changed) => {
                 let terms = changed.filter_map(|service| self.control.terms.get(service));
-                (known_index, terms.cloned().collect())
+                (known.index, terms.cloned().collect())
             }
             None => (0, self.control.terms.values().cloned().collect()),
         };
--- a/crates/decisions/src/control_role/entry_progress.rs
+++ b/crates/decisions/src/control_role/entry_progress.rs
@@ -1,7 +1,11 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{clock::Moment, identity::HostId};
 
+/// Time without a confirmation after which states are sent again. It is longer than the
+/// largest configuration takes on a narrow link, where repeats would delay what follows.
+const STATE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+
 /// State of an entry host as last reported.
 #[derive(Debug, Clone)]
 pub(super) struct EntryProgress {
@@ -57,6 +61,21 @@
         });
         Self { received, sent_state, ..self }
     }
+
+    /// What the host has, or what its link carries to it; the next state follows that.
+    pub(super) fn known_state(&self, now: Moment) -> SentState {
+        let awaited =
+            self.sent_state.filter(|sent| now.since(sent.progress_at) < STATE_RETRY_INTERVAL);
+        let confirmed = SentState {
+            index: self.received,
+            routes_version: self.routes_version,
+            progress_at: now,
+        };
+        awaited.map_or(confirmed, |sent| SentState {
+            routes_version: sent.routes_version.max(self.routes_version),
+            ..sent
+        })
+    }
 }
 
 /// The newest state sent to an entry host. The link keeps the order, so that the next
