--- a/crates/daemon/src/control_role/peer_links.rs
+++ b/crates/daemon/src/control_role/peer_links.rs
@@ -119,12 +119,8 @@
                 let Some(message) = message else {
                     return Ok(());
                 };
-                feed_counted(&mut writer, LinkFrame::Control(Box::new(message)), metrics).await?;
-                while let Ok(message) = messages.try_recv() {
-                    let frame = LinkFrame::Control(Box::new(message));
-                    feed_counted(&mut writer, frame, metrics).await?;
-                }
-                timeout(SEND_TIMEOUT, writer.flush()).await??;
+                let to_frame = |message| LinkFrame::Control(Box::new(message));
+                send_queued(&mut writer, message, messages, to_frame, metrics).await?;
             }
         }
     }
@@ -159,7 +155,11 @@
     match timeout(HELLO_TIMEOUT, reader.next()).await?? {
         Some(LinkFrame::Hello { role: LinkRole::Control, host, .. }) => {
             send(events, ControlEvent::PeerLinked(host));
-            receive_messages(host, &mut reader, events).await
+            receive_frames(&mut reader, events, |frame| match frame {
+                LinkFrame::Control(message) => Some(ControlEvent::Peer(host, *message)),
+                _ => None,
+            })
+            .await
         }
         Some(LinkFrame::Hello { role: LinkRole::Entry, host, data_centre }) => {
             let (queue, updates) = mpsc::channel(ENTRY_QUEUE_LENGTH);
@@ -172,16 +172,16 @@
     }
 }
 
-async fn receive_messages(
-    peer: HostId,
+/// Passes on the event of each frame until the link ends; fails for a frame that has
+/// none, which a host of this role does not send.
+async fn receive_frames(
     reader: &mut FrameReader,
     events: &mpsc::UnboundedSender<LinkEvent>,
+    to_event: impl Fn(LinkFrame) -> Option<ControlEvent>,
 ) -> io::Result<()> {
     while let Some(frame) = reader.next().await? {
-        let LinkFrame::Control(message) = frame else {
-            return Err(io::ErrorKind::InvalidData.into());
-        };
-        send(events, ControlEvent::Peer(peer, *message));
+        let event = to_event(frame).ok_or(io::ErrorKind::InvalidData)?;
+        send(events, event);
     }
     Ok(())
 }
@@ -194,51 +194,44 @@
     events: &mpsc::UnboundedSender<LinkEvent>,
     metrics: &HostMetrics,
 ) -> io::Result<()> {
+    let reports = receive_frames(reader, events, |frame| match frame {
+        LinkFrame::Report(report) => Some(ControlEvent::Entry(host, report)),
+        _ => None,
+    });
     // Reports are read also while an update waits for a narrow link.
     tokio::select! {
-        result = receive_reports(host, reader, events) => result,
+        result = reports => result,
         result = send_updates(writer, updates, metrics) => result,
     }
 }
 
-async fn receive_reports(
-    host: HostId,
-    reader: &mut FrameReader,
-    events: &mpsc::UnboundedSender<LinkEvent>,
-) -> io::Result<()> {
-    while let Some(frame) = reader.next().await? {
-        let LinkFrame::Report(report) = frame else {
-            return Err(io::ErrorKind::InvalidData.into());
-        };
-        send(events, ControlEvent::Entry(host, report));
-    }
-    Ok(())
-}
-
 async fn send_updates(
     mut writer: FrameWriter,
     mut updates: mpsc::Receiver<EntryUpdate>,
     metrics: &HostMetrics,
 ) -> io::Result<()> {
     while let Some(update) = updates.recv().await {
-        feed_counted(&mut writer, LinkFrame::Update(update), metrics).await?;
-        while let Ok(update) = updates.try_recv() {
-            feed_counted(&mut writer, LinkFrame::Update(update), metrics).await?;
-        }
-        timeout(SEND_TIMEOUT, writer.flush()).await??;
+        send_queued(&mut writer, update, &mut updates, LinkFrame::Update, metrics).await?;
     }
     Ok(())
 }
 
-/// Appends a frame to the write buffer and counts its bytes.
-async fn feed_counted(
+/// Sends a message and those that are queued behind it, and counts their bytes.
+async fn send_queued<T>(
     writer: &mut FrameWriter,
-    frame: LinkFrame,
+    first: T,
+    queue: &mut mpsc::Receiver<T>,
+    to_frame: impl Fn(T) -> LinkFrame,
     metrics: &HostMetrics,
 ) -> io::Result<()> {
-    let bytes = writer.feed(&frame).await?;
-    metrics.count_sent(frame.kind(), bytes);
-    Ok(())
+    let mut next = Some(first);
+    while let Some(message) = next {
+        let frame = to_frame(message);
+        let bytes = writer.feed(&frame).await?;
+        metrics.count_sent(frame.kind(), bytes);
+        next = queue.try_recv().ok();
+    }
+    timeout(SEND_TIMEOUT, writer.flush()).await?
 }
 
 fn send(events: &mpsc::UnboundedSender<LinkEvent>, event: ControlEvent) {
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -151,9 +151,7 @@
                 if let Some(link) = self.links.get_mut(&host) {
                     link.is_open = false;
                 }
-                self.granted_by = self.granted_by.filter(|granter| *granter != host);
-                if self.leader == Some(host) {
-                    self.leader = None;
+                if self.lose_leader(host) {
                     self.renew_all();
                 }
             }
@@ -208,7 +206,7 @@
                     return;
                 }
                 let planned = find_newly_planned(&shared, &terms);
-                let newer = shared.view.borrow_mut().apply_changes(index, since, routes, terms);
+                let newer = shared.view.borrow_mut().apply_state(index, since, routes, terms);
                 if let Some(table) = shared.view.borrow().routes() {
                     shared.usage.follow(table);
                 }
@@ -272,6 +270,12 @@
         });
     }
 
+    /// Records that the link to a control host is lost; true if it was the leader.
+    fn lose_leader(&mut self, host: HostId) -> bool {
+        self.granted_by.take_if(|granter| *granter == host);
+        self.leader.take_if(|leader| *leader == host).is_some()
+    }
+
     /// Handles the answer of a control host that is not the leader: dials the
     /// leader that it names, if any, and renews the lease there.
     fn follow_named_leader(&mut self, host: HostId, leader: Option<HostId>) {
@@ -389,10 +393,7 @@
                 control = %host,
                 "no answer from the control host; opening a new link"
             );
-            if self.leader == Some(host) {
-                self.leader = None;
-            }
-            self.granted_by = self.granted_by.filter(|granter| *granter != host);
+            self.lose_leader(host);
             self.dial(host);
         }
     }
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -114,22 +114,11 @@
         }
     }
 
-    /// Applies the committed state at `index`, whose terms are complete, and returns
-    /// true if it was newer than the applied one. Older terms or routes change nothing.
+    /// Applies the committed state at `index`, of which `terms` holds the changes since
+    /// the index `since`, or all if that is 0; true if it is newer than the applied one.
+    /// Changes nothing if this host has not applied the state at `since`. Older terms or
+    /// routes change nothing.
     pub fn apply_state(
-        &mut self,
-        index: u64,
-        routes: Option<Arc<RouteTable>>,
-        terms: Vec<ServiceTerm>,
-    ) -> bool {
-        self.apply_changes(index, 0, routes, terms)
-    }
-
-    /// Applies the changes that led from the state at the index `since` to the one at
-    /// `index`; true if that is newer than the applied one. Changes nothing if this host
-    /// has not applied the state that the changes follow. With `since` 0 the terms are
-    /// complete.
-    pub fn apply_changes(
         &mut self,
         index: u64,
         since: u64,
--- a/crates/decisions/tests/caller_keys.rs
+++ b/crates/decisions/tests/caller_keys.rs
@@ -60,7 +60,7 @@
 /// A host that got its last lease at `LAST_CONTACT`.
 fn view(workspaces: Option<Vec<WorkspaceRule>>) -> EntryView {
     let mut view = EntryView::new(Arc::from("a"));
-    view.apply_state(1, Some(Arc::new(table(1, workspaces))), Vec::new());
+    view.apply_state(1, 0, Some(Arc::new(table(1, workspaces))), Vec::new());
     view.record_control_message(LAST_CONTACT);
     view.extend_lease(LAST_CONTACT, LEASE, 1, 1);
     view
@@ -124,7 +124,7 @@
     view.extend_lease(later, LEASE, 2, 1);
     assert_eq!(access(&view, 600, "keyed", Some("spare")), CallerAccess::Unproven);
     let without_spare = vec![rule("acme", &["key-of-acme"])];
-    view.apply_state(2, Some(Arc::new(table(2, Some(without_spare)))), Vec::new());
+    view.apply_state(2, 0, Some(Arc::new(table(2, Some(without_spare)))), Vec::new());
     assert_eq!(access(&view, 600, "keyed", Some("spare")), CallerAccess::Refused);
     let member = CallerAccess::Member(Arc::from("acme"));
     assert_eq!(access(&view, 600, "keyed", Some("key-of-acme")), member);
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -258,14 +258,7 @@
             })
             .max()
             .unwrap_or(0);
-        let report = EntryReport::Renew {
-            sent_at: self.now,
-            applied,
-            received: Some(applied),
-            follows: None,
-            routes_version: 0,
-            leaving: false,
-        };
+        let report = renewal(self.now, applied, 0, None);
         self.step(at, ControlEvent::Entry(entry, report));
     }
 
@@ -474,6 +467,25 @@
     }
 }
 
+/// One of many databases, with an address of its own.
+pub fn numbered_instance(number: u64, role: InstanceRole) -> InstanceRecord {
+    InstanceRecord {
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 5_432).into(),
+        ..instance(&format!("i-{number}"), 1, role)
+    }
+}
+
+/// The renewal of an entry host that has received and applied the state at this index.
+pub fn renewal(
+    sent_at: Moment,
+    applied: u64,
+    routes_version: u64,
+    follows: Option<HostId>,
+) -> EntryReport {
+    let received = Some(applied);
+    EntryReport::Renew { sent_at, applied, received, routes_version, follows, leaving: false }
+}
+
 /// The departure of a database.
 pub fn departure_of(record: &InstanceRecord) -> InstanceDeparture {
     InstanceDeparture { id: record.key.id.clone(), born_ms: Some(record.key.born_ms) }
--- a/crates/decisions/tests/cut_off_hosts.rs
+++ b/crates/decisions/tests/cut_off_hosts.rs
@@ -30,7 +30,7 @@
         phase: TermPhase::Steady,
         above_term: 0,
     };
-    view.apply_state(1, None, vec![term]);
+    view.apply_state(1, 0, None, vec![term]);
     view.record_control_message(LAST_CONTACT);
     view.extend_lease(LAST_CONTACT, LEASE, 1, 300);
     view
--- a/crates/decisions/tests/instance_feed.rs
+++ b/crates/decisions/tests/instance_feed.rs
@@ -5,11 +5,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use control_world::ControlWorld;
+use control_world::{ControlWorld, numbered_instance, renewal};
 use hawthornstack_decisions::{
-    control_role::{ControlEvent, EntryReport, EntryUpdate},
+    control_role::{ControlEvent, EntryUpdate},
     identity::HostId,
-    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceDeparture, InstanceRecord, InstanceRole},
 };
 
 const ENTRY: HostId = HostId(100);
@@ -17,36 +17,22 @@
 const CONTROL_HOSTS: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
 
 fn replica(number: u64, sequence: u64) -> InstanceRecord {
-    InstanceRecord {
-        key: InstanceKey { id: Arc::from(format!("i-{number}")), born_ms: 1 },
-        service: Arc::from("books"),
-        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 5_432).into(),
-        data_centre: Arc::from("a"),
-        slots: 4,
-        warm_up: Duration::ZERO,
-        role: InstanceRole::Replica,
-        draining: sequence > 1,
-        sequence,
-    }
+    let record = numbered_instance(number, InstanceRole::Replica);
+    InstanceRecord { draining: sequence > 1, sequence, ..record }
 }
 
 fn renew(world: &mut ControlWorld, at: HostId, follows: Option<HostId>) {
-    let report = EntryReport::Renew {
-        sent_at: world.now,
-        applied: 0,
-        received: Some(0),
-        routes_version: 0,
-        follows,
-        leaving: false,
-    };
+    let report = renewal(world.now, 0, 0, follows);
     world.handle_event(at, ControlEvent::Entry(ENTRY, report));
 }
 
-/// An entry host that is linked to all control hosts and follows the leader.
-fn world_with_follower() -> (ControlWorld, HostId) {
+/// An entry host that is linked to all control hosts and follows the leader, which is
+/// returned with another control host.
+fn world_with_follower() -> (ControlWorld, HostId, HostId) {
     let mut world = ControlWorld::start(3);
     world.run(3 * SECOND);
     let leader = world.leader().expect("a leader");
+    let other = CONTROL_HOSTS.into_iter().find(|host| *host != leader).expect("a follower");
     for host in CONTROL_HOSTS {
         world.handle_event(host, ControlEvent::EntryLinked(ENTRY, None));
         renew(&mut world, host, Some(leader));
@@ -57,7 +43,7 @@
         renew(&mut world, host, Some(leader));
     }
     forget_updates(&mut world);
-    (world, leader)
+    (world, leader, other)
 }
 
 fn forget_updates(world: &mut ControlWorld) {
@@ -80,7 +66,7 @@
 /// 100 MB in four seconds.
 #[test]
 fn changes_reach_a_host_once() {
-    let (mut world, leader) = world_with_follower();
+    let (mut world, leader, _) = world_with_follower();
     for number in 0..200 {
         let host = CONTROL_HOSTS[number as usize % CONTROL_HOSTS.len()];
         world.announce(host, &replica(number, 1));
@@ -97,8 +83,7 @@
 /// it sent the change and the others relied on it.
 #[test]
 fn change_withheld_for_a_lost_leader_is_sent() {
-    let (mut world, leader) = world_with_follower();
-    let other = CONTROL_HOSTS.into_iter().find(|host| *host != leader).expect("a follower");
+    let (mut world, leader, other) = world_with_follower();
     world.kill(leader);
     world.announce(other, &replica(7, 1));
     world.run(SECOND / 10);
@@ -111,8 +96,7 @@
 /// or withheld, and is sent after the news of its departure.
 #[test]
 fn departed_database_is_not_announced() {
-    let (mut world, leader) = world_with_follower();
-    let other = CONTROL_HOSTS.into_iter().find(|host| *host != leader).expect("a follower");
+    let (mut world, _, other) = world_with_follower();
     // The first change is sent at once, the second one is gathered.
     world.announce(other, &replica(7, 1));
     world.announce(other, &replica(8, 1));
@@ -133,7 +117,7 @@
 /// others.
 #[test]
 fn single_change_is_sent_at_once() {
-    let (mut world, leader) = world_with_follower();
+    let (mut world, leader, _) = world_with_follower();
     world.announce(leader, &replica(1, 1));
     assert_eq!(announcements(&world), [(leader, 1)]);
     world.run(SECOND);
--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -11,10 +11,10 @@
     time::Duration,
 };
 
-use control_world::{ControlWorld, table};
+use control_world::{ControlWorld, renewal, table};
 use hawthornstack_decisions::{
     clock::Moment,
-    control_role::{ControlEvent, EntryReport, EntryUpdate, OperatorOrder, OrderAnswer},
+    control_role::{ControlEvent, EntryUpdate, OperatorOrder, OrderAnswer},
     entry_role::{CallerAccess, EntryView},
     identity::{CallerKey, HostId},
     routes::{RouteTable, WorkspaceRule},
@@ -274,7 +274,7 @@
                 }
                 EntryUpdate::State { index, since, routes, terms } => {
                     let routes = routes.map(|packed| Arc::new(packed.unpack().expect("routes")));
-                    host.view.apply_changes(index, since, routes, terms);
+                    host.view.apply_state(index, since, routes, terms);
                 }
                 _ => {}
             }
@@ -292,14 +292,8 @@
             if !reachable {
                 continue;
             }
-            let report = EntryReport::Renew {
-                sent_at: self.world.now + host.offset,
-                applied: host.view.applied(),
-                received: Some(host.view.applied()),
-                follows: None,
-                routes_version: host.view.routes_version(),
-                leaving: false,
-            };
+            let now = self.world.now + host.offset;
+            let report = renewal(now, host.view.applied(), host.view.routes_version(), None);
             if host.linked.insert(control) {
                 self.world.handle_event(control, ControlEvent::EntryLinked(entry, None));
             }
--- a/crates/decisions/tests/log_resends.rs
+++ b/crates/decisions/tests/log_resends.rs
@@ -5,11 +5,8 @@
 
 use std::time::Duration;
 
-use control_world::ControlWorld;
-use hawthornstack_decisions::{
-    control_role::{ControlEvent, EntryReport},
-    identity::HostId,
-};
+use control_world::{ControlWorld, renewal};
+use hawthornstack_decisions::{control_role::ControlEvent, identity::HostId};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Entry hosts that join, each with one entry in the log.
@@ -17,17 +14,18 @@
 /// Time between two joins: twenty fit into a round trip.
 const JOIN_INTERVAL: Duration = Duration::from_micros(100);
 
+fn world_with_leader() -> (ControlWorld, HostId, HostId) {
+    let mut world = ControlWorld::start(3);
+    world.run(3 * SECOND);
+    let leader = world.leader().expect("a leader");
+    let follower = if leader == HostId(3) { HostId(2) } else { HostId(3) };
+    (world, leader, follower)
+}
+
 fn join(world: &mut ControlWorld, leader: HostId, number: u32) {
     let host = HostId(1_000 + number);
     world.handle_event(leader, ControlEvent::EntryLinked(host, None));
-    let report = EntryReport::Renew {
-        sent_at: world.now,
-        applied: 0,
-        received: Some(0),
-        routes_version: 0,
-        follows: None,
-        leaving: false,
-    };
+    let report = renewal(world.now, 0, 0, None);
     world.handle_event(leader, ControlEvent::Entry(host, report));
 }
 
@@ -36,10 +34,7 @@
 /// deployment of 295 entry hosts and 720 databases the leader sent 80 MB a second.
 #[test]
 fn missed_entries_are_resent_once() {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
-    let follower = if leader == HostId(3) { HostId(2) } else { HostId(3) };
+    let (mut world, leader, follower) = world_with_leader();
     let before = world.entries_sent.get(&follower).copied().unwrap_or(0);
     for number in 0..JOINS {
         world.isolate(follower, &[leader], (20..40).contains(&number));
@@ -57,10 +52,7 @@
 /// rejection that is taken for an old one and leaves the host behind.
 #[test]
 fn each_missed_entry_is_resent() {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
-    let follower = if leader == HostId(3) { HostId(2) } else { HostId(3) };
+    let (mut world, leader, follower) = world_with_leader();
     for number in 0..20 {
         world.isolate(follower, &[leader], true);
         join(&mut world, leader, number);
--- a/crates/decisions/tests/planned_changes.rs
+++ b/crates/decisions/tests/planned_changes.rs
@@ -45,13 +45,13 @@
 fn answers_are_not_accepted_after_the_end_of_a_term_is_confirmed() {
     let mut view = EntryView::new(Arc::from("a"));
     let planned = TermPhase::Fencing { planned: true };
-    view.apply_state(5, None, vec![term("books", planned.clone()), term("seats", planned)]);
+    view.apply_state(5, 0, None, vec![term("books", planned.clone()), term("seats", planned)]);
     view.extend_lease(NOW, Duration::from_secs(3), 5, 1);
     assert!(view.accepts_answer(NOW, "books", 3));
     view.surrender_term(&Arc::from("books"), 3);
     assert!(!view.accepts_answer(NOW, "books", 3));
     assert!(view.accepts_answer(NOW, "seats", 3));
     let next = ServiceTerm { number: 4, ..term("books", TermPhase::Steady) };
-    view.apply_state(9, None, vec![next]);
+    view.apply_state(9, 0, None, vec![next]);
     assert!(view.accepts_answer(NOW, "books", 4));
 }
--- a/crates/decisions/tests/priority_order.rs
+++ b/crates/decisions/tests/priority_order.rs
@@ -246,7 +246,7 @@
     };
     let mut view = EntryView::new("dc".into());
     assert_eq!(view.urgent_priority("mixed"), None);
-    view.apply_state(1, Some(Arc::new(table)), Vec::new());
+    view.apply_state(1, 0, Some(Arc::new(table)), Vec::new());
     assert_eq!(view.urgent_priority("mixed"), Some(1));
     assert_eq!(view.urgent_priority("plain"), None);
 }
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -46,7 +46,7 @@
         phase: TermPhase::Steady,
         above_term: 0,
     };
-    view.apply_state(1, None, vec![term]);
+    view.apply_state(1, 0, None, vec![term]);
     view.extend_lease(Moment::from_millis(500), Duration::from_millis(9_500), 1, 1);
     let mut at = Moment::from_millis(1_000);
     while at < now {
--- a/crates/decisions/tests/state_feed.rs
+++ b/crates/decisions/tests/state_feed.rs
@@ -5,13 +5,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use control_world::{ControlWorld, table};
+use control_world::{ControlWorld, numbered_instance, renewal, table};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{ControlEvent, EntryReport, EntryUpdate, OperatorOrder},
     entry_role::EntryView,
     identity::HostId,
-    instances::{InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceRecord, InstanceRole},
 };
 
 const ENTRY: HostId = HostId(100);
@@ -33,14 +33,13 @@
     }
 
     fn renew(&self, world: &mut ControlWorld, at: HostId) {
-        let report = EntryReport::Renew {
-            sent_at: world.now,
-            applied: self.view.applied(),
-            received: self.reports_received.then(|| self.view.applied()),
-            follows: None,
-            routes_version: self.view.routes_version(),
-            leaving: false,
-        };
+        let (applied, version) = (self.view.applied(), self.view.routes_version());
+        let mut report = renewal(world.now, applied, version, None);
+        if let EntryReport::Renew { received, .. } = &mut report
+            && !self.reports_received
+        {
+            *received = None;
+        }
         world.handle_event(at, ControlEvent::Entry(ENTRY, report));
     }
 
@@ -51,7 +50,7 @@
                 && !lost(*index)
             {
                 let routes = routes.as_ref().map(|packed| packed.unpack().expect("routes"));
-                self.view.apply_changes(*index, *since, routes.map(Arc::new), terms.clone());
+                self.view.apply_state(*index, *since, routes.map(Arc::new), terms.clone());
             }
         }
         self.seen = world.updates.len();
@@ -74,17 +73,8 @@
 }
 
 fn announce_primary(world: &mut ControlWorld, leader: HostId, number: u64) {
-    let record = InstanceRecord {
-        key: InstanceKey { id: Arc::from(format!("i-{number}")), born_ms: 1 },
-        service: Arc::from(format!("service-{number}")),
-        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 5_432).into(),
-        data_centre: Arc::from("a"),
-        slots: 4,
-        warm_up: Duration::ZERO,
-        role: InstanceRole::Primary,
-        draining: false,
-        sequence: 1,
-    };
+    let service = Arc::from(format!("service-{number}"));
+    let record = InstanceRecord { service, ..numbered_instance(number, InstanceRole::Primary) };
     world.announce(leader, &record);
 }
 
