--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -252,9 +252,9 @@
                 }
                 self.step(event);
             }
-            LinkEvent::EntryOpened { host, data_centre, number, queue } => {
+            LinkEvent::EntryOpened { host, hello, number, queue } => {
                 self.entry_links.insert(host, (number, queue));
-                self.step(ControlEvent::EntryLinked(host, data_centre));
+                self.step(ControlEvent::EntryLinked(host, hello));
             }
             LinkEvent::EntryClosed(host, number) => {
                 if self.entry_links.get(&host).is_some_and(|(current, _)| *current == number) {
--- a/crates/daemon/src/control_role/peer_links.rs
+++ b/crates/daemon/src/control_role/peer_links.rs
@@ -1,7 +1,7 @@
-use std::{cell::Cell, io, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use hawthornstack_decisions::{
-    control_role::{ControlEvent, ControlMessage, EntryUpdate, LinkFrame, LinkRole},
+    control_role::{ControlEvent, ControlMessage, EntryHello, EntryUpdate, LinkFrame, LinkRole},
     identity::HostId,
 };
 use tokio::{
@@ -35,12 +35,7 @@
     Control(ControlEvent),
     /// An entry host opened the link with this number; updates for it go to
     /// the queue.
-    EntryOpened {
-        host: HostId,
-        data_centre: Option<Arc<str>>,
-        number: u64,
-        queue: mpsc::Sender<EntryUpdate>,
-    },
+    EntryOpened { host: HostId, hello: EntryHello, number: u64, queue: mpsc::Sender<EntryUpdate> },
     /// The entry host's link with this number closed.
     EntryClosed(HostId, u64),
 }
@@ -108,7 +103,12 @@
         None => dialler.open_link().await?,
     };
     writer
-        .send(&LinkFrame::Hello { role: LinkRole::Control, host: own_id, data_centre: None })
+        .send(&LinkFrame::Hello {
+            role: LinkRole::Control,
+            host: own_id,
+            data_centre: None,
+            unpacks_instances: false,
+        })
         .await?;
     loop {
         tokio::select! {
@@ -161,9 +161,10 @@
             })
             .await
         }
-        Some(LinkFrame::Hello { role: LinkRole::Entry, host, data_centre }) => {
+        Some(LinkFrame::Hello { role: LinkRole::Entry, host, data_centre, unpacks_instances }) => {
             let (queue, updates) = mpsc::channel(ENTRY_QUEUE_LENGTH);
-            let _ = events.send(LinkEvent::EntryOpened { host, data_centre, number, queue });
+            let hello = EntryHello { data_centre, unpacks_instances };
+            let _ = events.send(LinkEvent::EntryOpened { host, hello, number, queue });
             let result = serve_entry(host, &mut reader, writer, updates, events, metrics).await;
             let _ = events.send(LinkEvent::EntryClosed(host, number));
             result
--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -5,7 +5,6 @@
     control_role::{EntryReport, EntryUpdate, LinkFrame, LinkRole},
     entry_role::{GatewayMap, StateConfirmations},
     identity::HostId,
-    instances::{InstanceDeparture, InstanceRecord},
     primaries::{ServiceTerm, TermPhase},
     send_pace::SendPace,
 };
@@ -16,6 +15,7 @@
 
 use super::{
     entry_shared::{EntryShared, ShutdownStage},
+    instance_updates::{record_announcements, record_departures},
     primary_probe::probe_primary,
 };
 use crate::links::{LinkDialler, host_address};
@@ -31,6 +31,10 @@
 /// Shortest time between renewals that confirm states. Services that change together are
 /// confirmed together.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time between them. While hundreds of services change, each confirmation is
+/// answered by the next state, and hundreds of hosts kept the leader busy with 10,000
+/// confirmations a second.
+const MAX_CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without an update after which the link to the leader is reopened.
 const LEADER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without an update after which any other link is reopened.
@@ -91,7 +95,7 @@
             events,
             confirmations: StateConfirmations::default(),
             redirects: SendPace::new(REDIRECT_INTERVAL),
-            confirms: SendPace::new(CONFIRM_INTERVAL),
+            confirms: SendPace::growing(CONFIRM_INTERVAL, MAX_CONFIRM_INTERVAL),
             lacks_routes: false,
         };
         links.dial_all(&seeds);
@@ -221,14 +225,20 @@
             EntryUpdate::GatewayHosts(sites) => {
                 shared.view.borrow_mut().set_gateways(GatewayMap::by_data_centre(sites))
             }
-            EntryUpdate::Announced(records) => {
-                log_newly_draining(&shared, host, &records);
-                shared.view.borrow_mut().record_announcements(now, &records)
-            }
-            EntryUpdate::Departed(departures) => {
-                log_departures(&shared, host, &departures);
-                shared.view.borrow_mut().record_departures(&departures)
-            }
+            EntryUpdate::Announced(records) => record_announcements(&shared, host, &records),
+            EntryUpdate::PackedInstances(packed) => match packed.unpack() {
+                Ok(records) => record_announcements(&shared, host, &records),
+                Err(error) => {
+                    tracing::error!(
+                        target: "entry",
+                        %error,
+                        "failed to unpack announcements; a new link requests them again"
+                    );
+                    self.lose_leader(host);
+                    return self.dial(host);
+                }
+            },
+            EntryUpdate::Departed(departures) => record_departures(&shared, host, &departures),
             EntryUpdate::Expired(departures) => {
                 shared.view.borrow_mut().remove_expired(&departures)
             }
@@ -285,7 +295,8 @@
         }
         let was_leader = self.leader == Some(host);
         let is_new_leader = leader.is_some() && leader != self.leader;
-        if was_leader || (self.leader.is_none() && is_new_leader) {
+        // A host that names itself was elected after the leader that this host knows.
+        if was_leader || (is_new_leader && (self.leader.is_none() || leader == Some(host))) {
             self.leader = leader.filter(|leader| *leader != host || !was_leader);
             self.redirects.request(self.shared.now());
         }
@@ -399,31 +410,6 @@
     }
 }
 
-/// Logs databases that this host learns to be draining.
-fn log_newly_draining(shared: &EntryShared, control: HostId, records: &[InstanceRecord]) {
-    let view = shared.view.borrow();
-    for record in records.iter().filter(|record| record.draining) {
-        if view.instance(&record.key).is_none_or(|known| !known.draining) {
-            tracing::info!(
-                target: "entry",
-                instance = %record.key,
-                service = %record.service,
-                sequence = record.sequence,
-                %control,
-                "database is draining"
-            );
-        }
-    }
-}
-
-/// Logs databases that this host learns to have left.
-fn log_departures(shared: &EntryShared, control: HostId, departures: &[InstanceDeparture]) {
-    let view = shared.view.borrow();
-    for departure in departures.iter().filter(|gone| view.instance_by_id(&gone.id).is_some()) {
-        tracing::info!(target: "entry", instance = %departure.id, %control, "database has left");
-    }
-}
-
 /// Terms that a new state starts to fence for a planned change of primary.
 fn find_newly_planned(shared: &EntryShared, terms: &[ServiceTerm]) -> Vec<ServiceTerm> {
     let view = shared.view.borrow();
@@ -473,6 +459,7 @@
         role: LinkRole::Entry,
         host: shared.settings.host,
         data_centre: Some(shared.settings.data_centre.clone()),
+        unpacks_instances: true,
     };
     writer.send(&hello).await?;
     let _ = events.send(LinkEvent::Opened(host));
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -12,6 +12,7 @@
 mod forward_task;
 mod forwarded_reads;
 mod idle_timer;
+mod instance_updates;
 mod pool_overload;
 mod pool_target;
 mod pool_waiters;
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -256,11 +256,17 @@
         Ok(())
     }
 
-    /// Replaces the log up to `index` by a snapshot of `state` once the log has
-    /// `compaction_entries` entries. `state` must be the state after `index`.
+    /// Replaces the committed part of the log by a snapshot of `state` once that part has
+    /// `compaction_entries` entries and the log is about as large as the state: a state of
+    /// thousands of databases takes a megabyte, which must not be copied, and synced, for
+    /// each few entries. `state` must be the state after all committed entries.
     /// Returns the effects to execute, as `step` does.
-    pub fn compact(&mut self, state: &ControlState, index: u64) -> Vec<AgreementEffect> {
-        if self.log.len() < self.settings.compaction_entries || index > self.commit {
+    pub fn compact(&mut self, state: &ControlState) -> Vec<AgreementEffect> {
+        let index = self.commit;
+        let committed = index - self.log.snapshot().index;
+        if committed < self.settings.compaction_entries as u64
+            || self.log.approximate_bytes() < state.approximate_bytes()
+        {
             return Vec::new();
         }
         let Some(term) = self.log.term_at(index) else {
--- a/crates/decisions/src/agreement/entry_log.rs
+++ b/crates/decisions/src/agreement/entry_log.rs
@@ -8,12 +8,14 @@
 pub struct EntryLog {
     snapshot: StateSnapshot,
     entries: VecDeque<LogEntry>,
+    /// About the size of the entries, in bytes.
+    bytes: usize,
 }
 
 impl EntryLog {
     /// Creates a log without entries that starts after `snapshot`.
     pub fn new(snapshot: StateSnapshot) -> Self {
-        Self { snapshot, entries: VecDeque::new() }
+        Self { snapshot, entries: VecDeque::new(), bytes: 0 }
     }
 
     /// The snapshot before the first entry.
@@ -31,6 +33,11 @@
         self.entries.is_empty()
     }
 
+    /// About the size of the entries in memory, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Index of the last entry, or of the snapshot if there is none.
     pub fn last_index(&self) -> u64 {
         self.entries.back().map_or(self.snapshot.index, |entry| entry.index)
@@ -56,10 +63,17 @@
         self.entries.get(offset as usize)
     }
 
-    /// Clones up to `limit` entries, starting at `index`.
-    pub fn entries_from(&self, index: u64, limit: usize) -> Vec<LogEntry> {
+    /// Clones entries, starting at `index`: up to `limit` of them that hold about
+    /// `max_bytes` together, and at least one if there is any.
+    pub fn entries_from(&self, index: u64, limit: usize, max_bytes: usize) -> Vec<LogEntry> {
         let skipped = index.saturating_sub(self.snapshot.index + 1) as usize;
-        self.entries.iter().skip(skipped).take(limit).cloned().collect()
+        let mut bytes = 0;
+        let fits = |entry: &&LogEntry| {
+            let is_first = bytes == 0;
+            bytes += entry.payload.approximate_bytes();
+            is_first || bytes <= max_bytes
+        };
+        self.entries.iter().skip(skipped).take(limit).take_while(fits).cloned().collect()
     }
 
     /// Appends an entry after removing all entries at or after its index. An
@@ -68,7 +82,10 @@
         if entry.index <= self.snapshot.index || entry.index > self.last_index() + 1 {
             return;
         }
-        self.entries.truncate((entry.index - self.snapshot.index - 1) as usize);
+        let kept = (entry.index - self.snapshot.index - 1) as usize;
+        let removed = self.entries.drain(kept..);
+        self.bytes -= removed.map(|entry| entry.payload.approximate_bytes()).sum::<usize>();
+        self.bytes += entry.payload.approximate_bytes();
         self.entries.push_back(entry);
     }
 
@@ -79,9 +96,12 @@
             return;
         }
         if self.term_at(snapshot.index) == Some(snapshot.term) {
-            self.entries.drain(..(snapshot.index - self.snapshot.index) as usize);
+            let covered = (snapshot.index - self.snapshot.index) as usize;
+            let removed = self.entries.drain(..covered);
+            self.bytes -= removed.map(|entry| entry.payload.approximate_bytes()).sum::<usize>();
         } else {
             self.entries.clear();
+            self.bytes = 0;
         }
         self.snapshot = snapshot;
     }
--- a/crates/decisions/src/agreement/journal_record.rs
+++ b/crates/decisions/src/agreement/journal_record.rs
@@ -44,6 +44,16 @@
     },
 }
 
+impl EntryPayload {
+    /// About the size of the entry in a message, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.approximate_bytes(),
+            Self::Voters { .. } => ControlCommand::SMALL_BYTES,
+        }
+    }
+}
+
 /// One entry of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEntry {
--- a/crates/decisions/src/agreement/replication.rs
+++ b/crates/decisions/src/agreement/replication.rs
@@ -9,6 +9,9 @@
 
 /// Most entries in one [`AppendMessage`].
 const MAX_APPEND_ENTRIES: usize = 256;
+/// About the most bytes in one [`AppendMessage`], unless its first entry is larger. Frames
+/// are limited to 16 MiB, and a follower that was away lacks dozens of configurations.
+const MAX_APPEND_BYTES: usize = 2 * 1024 * 1024;
 /// Silence after which a voter is removed if another voter has replaced it.
 const REPLACED_VOTER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Silence after which the leader stops replicating to a learner.
@@ -83,7 +86,11 @@
         let previous_index = follower.next_index - 1;
         let message = match self.log.term_at(previous_index) {
             Some(previous_term) => {
-                let entries = self.log.entries_from(follower.next_index, MAX_APPEND_ENTRIES);
+                let entries = self.log.entries_from(
+                    follower.next_index,
+                    MAX_APPEND_ENTRIES,
+                    MAX_APPEND_BYTES,
+                );
                 // The next message continues after these entries without
                 // waiting for the reply; a rejection moves the index back.
                 follower.next_index += entries.len() as u64;
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -55,6 +55,15 @@
     Unclear,
 }
 
+/// What an entry host says of itself when it opens a link.
+#[derive(Debug, Clone, Default)]
+pub struct EntryHello {
+    /// Its data centre; older builds do not name it.
+    pub data_centre: Option<Arc<str>>,
+    /// True if it reads [`EntryUpdate::PackedInstances`].
+    pub unpacks_instances: bool,
+}
+
 /// Input of a control host.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -64,8 +73,8 @@
     PeerLinked(HostId),
     /// Another control host sent a message.
     Peer(HostId, ControlMessage),
-    /// An entry host, in this data centre if it named one, opened a link.
-    EntryLinked(HostId, Option<Arc<str>>),
+    /// An entry host opened a link.
+    EntryLinked(HostId, EntryHello),
     /// The link of an entry host closed.
     EntryClosed(HostId),
     /// An entry host sent a report.
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -5,9 +5,9 @@
 };
 
 use super::{
-    ControlEffect, ControlEvent, ControlLogEvent, ControlMessage, EntryUpdate,
-    entry_progress::EntryProgress, order_flow::PendingOrder, recent_changes::RecentChanges,
-    term_history::TermHistory,
+    ControlEffect, ControlEvent, ControlLogEvent, ControlMessage, ControlSettings, EntryUpdate,
+    control_settings::ENTRY_LEASE_DURATION, entry_progress::EntryProgress,
+    instance_feed::InstanceFeed, order_flow::PendingOrder, term_history::TermHistory,
 };
 use crate::{
     agreement::{
@@ -22,114 +22,13 @@
     primaries::{SuspicionPoll, TermChange},
     routes::PackedRoutes,
     send_pace::SendPace,
-    usage::{UsageBounds, UsageLedger},
+    usage::UsageLedger,
 };
 
 /// Number of log entries kept in memory. Entries carry whole configurations,
 /// and this many of the largest allowed size fit into the memory of a small
 /// host.
 const COMPACTION_ENTRIES: usize = 64;
-
-/// Shortest time between changes of databases that are sent to entry hosts; those in
-/// between are sent together.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
-/// Silence of the control leader before an election: many times the latency
-/// between data centres, and short compared with an entry host's lease.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time between the leader's heartbeats: four fit into an election timeout.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(75);
-/// Lease of an entry host: it serves this long without contact with the control
-/// leader, and a change of primary waits this long for a host that is cut off.
-const ENTRY_LEASE_DURATION: Duration = Duration::from_millis(3_500);
-/// Share of the time limit for revoking a key that a lease may take, in percent; the
-/// rest is left for drifting clocks and for statements on their way.
-const REVOCATION_LEASE_PERCENT: u32 = 70;
-/// Time before the end of a draining database's use at which its term ends: until
-/// then all entry hosts in contact with control must have stopped using it.
-const DRAIN_END_MARGIN: Duration = Duration::from_millis(1_000);
-/// Consecutive announcements that may be missed before a database is removed.
-const MISSED_ANNOUNCEMENT_LIMIT: u32 = 10;
-/// Part of the announcement lifetime after which a silent database no longer counts as
-/// a successor of a draining primary: two announcements may be missed.
-const SUCCESSOR_SILENCE_DIVISOR: u32 = 4;
-
-/// Settings of a control host, given at its start.
-#[derive(Debug, Clone)]
-pub struct ControlSettings {
-    /// Number of this host.
-    pub host: HostId,
-    /// Control hosts to contact first.
-    pub seeds: BTreeSet<HostId>,
-    /// True at the first start of the deployment: the seeds become its voters.
-    pub bootstrap: bool,
-    /// Shortest silence of a leader before an election.
-    pub election_timeout: Duration,
-    /// Time between a leader's heartbeats.
-    pub heartbeat_interval: Duration,
-    /// Length of an entry host's lease.
-    pub lease_duration: Duration,
-    /// Time without an announcement after which a database is removed.
-    pub announcement_lifetime: Duration,
-    /// Time for which a database may be used after it announced that it drains;
-    /// `None` for no limit.
-    pub drain_period: Option<Duration>,
-    /// Limits on how far workspaces may exceed their caps.
-    pub usage_bounds: UsageBounds,
-    /// Random seed, different at every start.
-    pub seed: u64,
-}
-
-impl ControlSettings {
-    /// Settings with the default times, for databases that announce themselves
-    /// every `announcement_interval` and may be used for `drain_period` once they
-    /// drain.
-    pub fn new(
-        host: HostId,
-        seeds: BTreeSet<HostId>,
-        bootstrap: bool,
-        announcement_interval: Duration,
-        drain_period: Option<Duration>,
-        seed: u64,
-    ) -> Self {
-        Self {
-            host,
-            seeds,
-            bootstrap,
-            election_timeout: ELECTION_TIMEOUT,
-            heartbeat_interval: HEARTBEAT_INTERVAL,
-            lease_duration: ENTRY_LEASE_DURATION,
-            announcement_lifetime: announcement_interval * MISSED_ANNOUNCEMENT_LIMIT,
-            drain_period,
-            usage_bounds: UsageBounds::default(),
-            seed,
-        }
-    }
-
-    /// Shortens leases so that a host that is cut off stops serving a removed key
-    /// within `limit` after the removal was acknowledged: a lease proves a
-    /// configuration that is no older than the lease.
-    pub fn with_revocation_limit(mut self, limit: Duration) -> Self {
-        self.lease_duration = self.lease_duration.min(limit * REVOCATION_LEASE_PERCENT / 100);
-        self
-    }
-
-    /// Sets the limits on how far workspaces may exceed their caps.
-    pub fn with_usage_bounds(mut self, bounds: UsageBounds) -> Self {
-        self.usage_bounds = bounds;
-        self
-    }
-
-    /// Silence after which a database is not relied on as a successor.
-    pub(super) fn successor_silence(&self) -> Duration {
-        self.announcement_lifetime / SUCCESSOR_SILENCE_DIVISOR
-    }
-
-    /// Time after which a draining database is neither kept nor chosen as primary.
-    pub(super) fn drain_limit(&self) -> Option<Duration> {
-        self.drain_period.map(|period| period.saturating_sub(DRAIN_END_MARGIN))
-    }
-}
-
 /// State that only the leader keeps; a new leader starts with an empty one.
 #[derive(Debug)]
 pub(super) struct LeaderState {
@@ -156,7 +55,7 @@
 struct PendingChanges {
     /// At least one command was applied, so leader tasks may be due.
     any: bool,
-    /// At least one command changed state that entry hosts apply.
+    /// At least one command changed what entry hosts are sent.
     for_entries: bool,
     routes: bool,
     /// Services whose terms changed.
@@ -181,11 +80,11 @@
     pub(super) entry_state_index: u64,
     /// Last changes of terms, from which entry hosts are sent what they lack.
     pub(super) term_history: TermHistory,
-    /// Databases that changed lately, for entry hosts that stop following the leader.
-    pub(super) recent_changes: RecentChanges,
-    /// Ids of databases whose changes have not been sent to entry hosts yet.
-    pub(super) unsent_changes: BTreeSet<Arc<str>>,
-    pub(super) change_pace: SendPace,
+    pub(super) instance_feed: InstanceFeed,
+    /// Paces the states that entry hosts are sent when they change.
+    pub(super) state_pace: SendPace,
+    /// Paces the leader tasks, which look at all services and databases.
+    pub(super) task_pace: SendPace,
     /// Changes by the commands applied in this step.
     pending_changes: PendingChanges,
     pub(super) effects: Vec<ControlEffect>,
@@ -214,9 +113,9 @@
         let mut host = Self {
             entry_state_index: control.applied,
             term_history: TermHistory::starting_at(control.applied),
-            recent_changes: RecentChanges::default(),
-            unsent_changes: BTreeSet::new(),
-            change_pace: SendPace::new(CHANGE_INTERVAL),
+            instance_feed: InstanceFeed::new(),
+            state_pace: SendPace::new(Duration::ZERO),
+            task_pace: SendPace::new(Duration::ZERO),
             control,
             agreement,
             directory: InstanceDirectory::default(),
@@ -242,7 +141,7 @@
             ControlEvent::Tick => self.tick(now),
             ControlEvent::PeerLinked(peer) => self.handle_peer_link(now, peer),
             ControlEvent::Peer(from, message) => self.handle_peer_message(now, from, message),
-            ControlEvent::EntryLinked(host, place) => self.handle_entry_link(now, host, place),
+            ControlEvent::EntryLinked(host, hello) => self.handle_entry_link(now, host, hello),
             ControlEvent::EntryClosed(host) => self.handle_entry_close(host),
             ControlEvent::Entry(host, report) => self.handle_entry_report(now, host, report),
             ControlEvent::Persisted(number) => {
@@ -260,17 +159,33 @@
                 self.handle_order(now, ticket, order)
             }
         }
-        while self.pending_changes.any {
-            self.publish_changes(now);
+        self.finish_step(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Does what the step made necessary and is due.
+    fn finish_step(&mut self, now: Moment) {
+        loop {
+            while self.pending_changes.any {
+                self.publish_changes(now);
+            }
+            if !self.task_pace.take_due(now) {
+                break;
+            }
+            self.run_leader_tasks(now);
+        }
+        if self.state_pace.take_due(now) {
+            self.send_state_to_all(now);
         }
         self.send_changed_instances(now);
-        std::mem::take(&mut self.effects)
+        let effects = self.agreement.compact(&self.control);
+        self.execute_effects(now, effects);
     }
 
     /// Time at which the next [`ControlEvent::Tick`] is due.
     pub fn next_due(&self, now: Moment) -> Moment {
-        let agreement = self.agreement.next_due();
-        let agreement = self.change_pace.due().map_or(agreement, |due| agreement.min(due));
+        let paced = [self.instance_feed.due(), self.state_pace.due(), self.task_pace.due()];
+        let agreement = paced.into_iter().flatten().fold(self.agreement.next_due(), Moment::min);
         match &self.leader_state {
             Some(leader_state) => leader_state
                 .changes
@@ -308,7 +223,7 @@
 
     fn tick(&mut self, now: Moment) {
         self.step_agreement(now, AgreementEvent::Tick);
-        self.run_leader_tasks(now);
+        self.request_leader_tasks(now);
         self.log_cap_changes(now);
     }
 
@@ -393,8 +308,6 @@
                 self.answer_orders(index);
             }
         }
-        let effects = self.agreement.compact(&self.control, index);
-        self.execute_effects(now, effects);
     }
 
     /// Records what a command changed. The changes are published after all
@@ -411,6 +324,10 @@
                 self.pending_changes.services.insert(service.clone());
                 self.term_history.record(service.clone(), index);
             }
+            ControlCommand::HolderJoined(_) | ControlCommand::HolderLeft(_) => {
+                self.pending_changes.for_entries = true;
+                return;
+            }
             ControlCommand::InstanceSeen(record) => {
                 self.restore_announcements(now, vec![record.clone()]);
                 return;
@@ -432,9 +349,9 @@
         }
         change.services.iter().for_each(|service| self.log_term_change(service));
         if change.for_entries {
-            self.send_state_to_all(now);
+            self.request_state_feed(now);
         }
-        self.run_leader_tasks(now);
+        self.request_leader_tasks(now);
     }
 
     fn log_term_change(&mut self, service: &Arc<str>) {
@@ -454,7 +371,7 @@
         self.entry_state_index = self.control.applied;
         self.term_history = TermHistory::starting_at(self.control.applied);
         self.restore_instances(now);
-        self.send_state_to_all(now);
+        self.request_state_feed(now);
     }
 
     fn become_leader(&mut self, now: Moment, term: u64) {
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -21,7 +21,7 @@
                 self.log_instance_change(&record);
                 self.gather_changed_instances(now, std::slice::from_ref(&record));
                 self.broadcast_to_peers(&ControlMessage::Announced(vec![record]));
-                self.run_leader_tasks(now);
+                self.request_leader_tasks(now);
             }
         }
     }
@@ -31,7 +31,7 @@
             self.directory.record_announcement(now, record) == DirectoryChange::Changed
         });
         if self.publish_instances(now, &records) {
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 
@@ -61,16 +61,17 @@
     pub(super) fn restore_instances(&mut self, now: Moment) {
         let records: Vec<InstanceRecord> = self.control.instances.values().cloned().collect();
         if self.restore_announcements(now, records) {
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 
     /// Records a departure announced to this host and forwards it.
     pub(super) fn handle_departure(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.record_departure(&departure) {
+            self.instance_feed.forget_directory();
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(vec![departure.clone()]));
             self.broadcast_to_peers(&ControlMessage::Departed(vec![departure]));
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 
@@ -80,8 +81,9 @@
             .filter(|departure| self.directory.record_departure(departure))
             .collect();
         if !gone.is_empty() {
+            self.instance_feed.forget_directory();
             self.broadcast_to_entry_hosts(EntryUpdate::Departed(gone));
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 
@@ -89,6 +91,7 @@
         for departure in &departures {
             self.directory.remove(departure);
         }
+        self.instance_feed.forget_directory();
         self.broadcast_to_entry_hosts(EntryUpdate::Expired(departures));
     }
 
@@ -97,6 +100,7 @@
     pub(super) fn expire_silent_instances(&mut self, now: Moment) {
         let silent = self.directory.expire(now, self.settings.announcement_lifetime);
         if !silent.is_empty() {
+            self.instance_feed.forget_directory();
             self.broadcast_to_entry_hosts(EntryUpdate::Expired(silent.clone()));
             for departure in silent.clone() {
                 self.propose(now, ControlCommand::InstanceGone(departure));
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -1,38 +1,26 @@
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    ControlEffect, ControlHost, EntryReport, EntryUpdate,
-    entry_progress::{EntryProgress, InstanceFeed, SentState},
+    ControlEffect, ControlHost, EntryHello, EntryReport, EntryUpdate,
+    entry_progress::{EntryProgress, SentState},
 };
 use crate::{
     clock::Moment, control_state::ControlCommand, entry_role::DataCentreHosts, identity::HostId,
-    instances::InstanceRecord, routes::PackedRoutes,
+    routes::PackedRoutes,
 };
 
-/// Time for which a host that has opened a link may find the leader before other control
-/// hosts send it all databases, which the leader sends as well.
-const LEADER_SEARCH_TIME: Duration = Duration::from_secs(1);
-/// Longest time before its renewal in which a host that follows the leader may have
-/// missed messages of the leader; it opens a silent link again sooner.
-const LEADER_SILENCE: Duration = Duration::from_secs(2);
+/// Time between messages to all entry hosts for each of them: the leader sends and is
+/// answered about 5,000 of them a second.
+const FEED_TIME_PER_HOST: Duration = Duration::from_micros(200);
 /// Silence after which a host whose lease has expired is removed from the
 /// holders.
 const HOLDER_RETENTION: Duration = Duration::from_secs(15);
 
 impl ControlHost {
-    pub(super) fn handle_entry_link(
-        &mut self,
-        now: Moment,
-        host: HostId,
-        data_centre: Option<Arc<str>>,
-    ) {
-        self.entry_hosts.insert(host, EntryProgress::linked(now, data_centre));
+    pub(super) fn handle_entry_link(&mut self, now: Moment, host: HostId, hello: EntryHello) {
+        self.entry_hosts.insert(host, EntryProgress::linked(now, hello));
         let hosts = self.known_hosts();
         self.send_entry(host, EntryUpdate::Hosts(hosts));
         let leader = self.agreement.leader();
@@ -51,9 +39,9 @@
         match report {
             EntryReport::Renew { sent_at, applied, received, routes_version, follows, leaving } => {
                 let previous = self.entry_hosts.remove(&host);
-                let previous = previous.unwrap_or_else(|| EntryProgress::linked(now, None));
+                let previous =
+                    previous.unwrap_or_else(|| EntryProgress::linked(now, EntryHello::default()));
                 let has_advanced = previous.applied < applied;
-                let silence = now.since(previous.last_heard_at);
                 let progress = EntryProgress {
                     applied,
                     takes_changes: received.is_some(),
@@ -65,7 +53,7 @@
                     ..previous.confirmed(now, received.unwrap_or(0).max(applied))
                 };
                 self.entry_hosts.insert(host, progress);
-                self.send_missing_instances(now, host, silence);
+                self.send_missing_instances(now, host);
                 self.renew_lease(now, host, sent_at, has_advanced);
             }
             EntryReport::PrimaryReachable { service, number, reachable } => {
@@ -87,89 +75,10 @@
             return self.propose_once(now, ControlCommand::HolderJoined(host));
         }
         self.grant_lease(now, host, sent_at);
-        self.send_entry_hosts(host);
+        let gateways = self.gateway_list(self.names_data_centre(host));
+        self.send_gateway_list(host, &gateways);
         if has_advanced {
-            self.run_leader_tasks(now);
-        }
-    }
-
-    /// True if the leader, which is another host, sends the entry host the changes of
-    /// databases: each change would otherwise reach it from every control host.
-    fn is_fed_by_leader(&self, entry: &EntryProgress) -> bool {
-        self.leader_elsewhere().is_some_and(|leader| entry.follows == Some(leader))
-    }
-
-    /// Sends an entry host the databases that it may lack, once it does not get them
-    /// from the leader. `silence` is the time since its last renewal, in which it may
-    /// have stopped to follow the leader.
-    fn send_missing_instances(&mut self, now: Moment, host: HostId, silence: Duration) {
-        let Some(entry) = self.entry_hosts.get(&host) else {
-            return;
-        };
-        let may_find_leader =
-            self.leader_elsewhere().is_some() && now.since(entry.linked_at) < LEADER_SEARCH_TIME;
-        let (next, records) = match (entry.instances, self.is_fed_by_leader(entry)) {
-            (InstanceFeed::Unsent, true) => (InstanceFeed::Withheld, Vec::new()),
-            (InstanceFeed::Unsent, false) if may_find_leader => return,
-            (InstanceFeed::Unsent, false) => (InstanceFeed::Complete, self.all_instances()),
-            (InstanceFeed::Withheld, false) => {
-                let changed = self.recent_changes.within(now, silence + LEADER_SILENCE);
-                let records = changed.map(|ids| self.known_instances(&ids));
-                (InstanceFeed::Complete, records.unwrap_or_else(|| self.all_instances()))
-            }
-            (InstanceFeed::Withheld, true) | (InstanceFeed::Complete, _) => return,
-        };
-        if let Some(entry) = self.entry_hosts.get_mut(&host) {
-            entry.instances = next;
-        }
-        if !records.is_empty() {
-            self.send_entry(host, EntryUpdate::Announced(records));
-        }
-    }
-
-    fn all_instances(&self) -> Vec<InstanceRecord> {
-        self.directory.records().cloned().collect()
-    }
-
-    /// Records of the databases with these ids, without those that are gone.
-    fn known_instances(&self, ids: &BTreeSet<Arc<str>>) -> Vec<InstanceRecord> {
-        ids.iter().filter_map(|id| self.directory.get(id)).cloned().collect()
-    }
-
-    /// Gathers databases that changed for the entry hosts.
-    pub(super) fn gather_changed_instances(&mut self, now: Moment, records: &[InstanceRecord]) {
-        self.recent_changes.record(now, records);
-        self.unsent_changes.extend(records.iter().map(|record| record.key.id.clone()));
-        self.change_pace.request(now);
-    }
-
-    /// Sends the gathered databases, when they are due, to the entry hosts that do not get
-    /// them from the leader.
-    pub(super) fn send_changed_instances(&mut self, now: Moment) {
-        if !self.change_pace.take_due(now) {
-            return;
-        }
-        let changed = std::mem::take(&mut self.unsent_changes);
-        let records = self.known_instances(&changed);
-        if records.is_empty() {
-            return;
-        }
-        for host in self.linked_entry_hosts() {
-            let Some(entry) = self.entry_hosts.get(&host) else {
-                continue;
-            };
-            match (entry.instances, self.is_fed_by_leader(entry)) {
-                // All records follow with the first renewal.
-                (InstanceFeed::Unsent, _) => {}
-                (InstanceFeed::Withheld | InstanceFeed::Complete, true) => {
-                    if let Some(entry) = self.entry_hosts.get_mut(&host) {
-                        entry.instances = InstanceFeed::Withheld;
-                    }
-                }
-                (InstanceFeed::Withheld | InstanceFeed::Complete, false) => {
-                    self.send_entry(host, EntryUpdate::Announced(records.clone()));
-                }
-            }
+            self.request_leader_tasks(now);
         }
     }
 
@@ -186,11 +95,8 @@
         self.send_entry(host, grant);
     }
 
-    /// Sends an entry host the list of entry hosts if it has changed since the
-    /// last one sent.
-    fn send_entry_hosts(&mut self, host: HostId) {
-        let by_data_centre =
-            self.entry_hosts.get(&host).is_some_and(|entry| entry.data_centre.is_some());
+    /// The list of entry hosts that may be gateways, with its hash.
+    fn gateway_list(&self, by_data_centre: bool) -> (u64, EntryUpdate) {
         let update = match by_data_centre {
             true => EntryUpdate::GatewayHosts(self.gateways_by_data_centre()),
             false => {
@@ -198,14 +104,24 @@
                 EntryUpdate::EntryHosts(hosts.collect())
             }
         };
-        let hash = hash_of_hosts(&update);
+        (hash_of_hosts(&update), update)
+    }
+
+    /// True if the entry host named its data centre, so that its list has data centres.
+    fn names_data_centre(&self, host: HostId) -> bool {
+        self.entry_hosts.get(&host).is_some_and(|entry| entry.hello.data_centre.is_some())
+    }
+
+    /// Sends an entry host the list of entry hosts if it has changed since the
+    /// last one sent.
+    fn send_gateway_list(&mut self, host: HostId, (hash, update): &(u64, EntryUpdate)) {
         let Some(entry) =
-            self.entry_hosts.get_mut(&host).filter(|entry| entry.sent_hosts_hash != hash)
+            self.entry_hosts.get_mut(&host).filter(|entry| entry.sent_hosts_hash != *hash)
         else {
             return;
         };
-        entry.sent_hosts_hash = hash;
-        self.send_entry(host, update);
+        entry.sent_hosts_hash = *hash;
+        self.send_entry(host, update.clone());
     }
 
     /// Holders that are not about to stop, with what this host knows of each.
@@ -220,7 +136,7 @@
     fn gateways_by_data_centre(&self) -> Vec<DataCentreHosts> {
         let mut sites: BTreeMap<&Arc<str>, Vec<HostId>> = BTreeMap::new();
         for (host, entry) in self.gateway_candidates() {
-            if let Some(data_centre) = entry.and_then(|entry| entry.data_centre.as_ref()) {
+            if let Some(data_centre) = entry.and_then(|entry| entry.hello.data_centre.as_ref()) {
                 sites.entry(data_centre).or_default().push(host);
             }
         }
@@ -256,7 +172,7 @@
             let service = service.clone();
             self.broadcast_to_entry_hosts(EntryUpdate::Probe { service, number });
         }
-        self.run_leader_tasks(now);
+        self.request_leader_tasks(now);
     }
 
     /// Removes holders that have been silent for `HOLDER_RETENTION` and whose
@@ -285,14 +201,33 @@
         }
     }
 
-    /// Sends the committed state to all linked entry hosts if this host is the
-    /// leader.
+    /// Requests that the committed state is sent to the entry hosts: at once after a pause,
+    /// else once in a time that grows with their number.
+    pub(super) fn request_state_feed(&mut self, now: Moment) {
+        self.state_pace.set_interval(self.feed_interval());
+        self.state_pace.request(now);
+    }
+
+    /// Shortest time between messages to all entry hosts.
+    pub(super) fn feed_interval(&self) -> Duration {
+        FEED_TIME_PER_HOST * self.entry_hosts.len() as u32
+    }
+
+    /// Sends the committed state and the list of entry hosts to all linked entry hosts if
+    /// this host is the leader. Those that have not renewed their leases since its election
+    /// do so now, and report what they have.
     pub(super) fn send_state_to_all(&mut self, now: Moment) {
-        if !self.agreement.is_leader() {
+        let Some(elected_at) = self.leader_state.as_ref().map(|state| state.elected_at) else {
             return;
+        };
+        let [plain, by_data_centre] = [false, true].map(|by| self.gateway_list(by));
+        for host in self.linked_entry_hosts() {
+            if self.entry_hosts.get(&host).is_some_and(|entry| entry.last_heard_at >= elected_at) {
+                self.send_state(now, host);
+                let gateways = if self.names_data_centre(host) { &by_data_centre } else { &plain };
+                self.send_gateway_list(host, gateways);
+            }
         }
-        let linked: Vec<HostId> = self.linked_entry_hosts();
-        linked.into_iter().for_each(|host| self.send_state(now, host));
     }
 
     /// Returns the packed configuration, packing each version once, when it is
@@ -347,7 +282,7 @@
         }
     }
 
-    fn linked_entry_hosts(&self) -> Vec<HostId> {
+    pub(super) fn linked_entry_hosts(&self) -> Vec<HostId> {
         self.entry_hosts.iter().filter(|(_, entry)| entry.linked).map(|(host, _)| *host).collect()
     }
 
--- a/crates/decisions/src/control_role/entry_progress.rs
+++ b/crates/decisions/src/control_role/entry_progress.rs
@@ -1,5 +1,6 @@
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
+use super::EntryHello;
 use crate::{clock::Moment, identity::HostId};
 
 /// Time without a confirmation after which states are sent again. It is longer than the
@@ -9,8 +10,8 @@
 /// State of an entry host as last reported.
 #[derive(Debug, Clone)]
 pub(super) struct EntryProgress {
-    /// Its data centre, if it named one.
-    pub(super) data_centre: Option<Arc<str>>,
+    /// What it said of itself when it opened the link.
+    pub(super) hello: EntryHello,
     /// Index up to which it has confirmed all states.
     pub(super) applied: u64,
     /// Index of the newest state that has arrived; at least `applied`.
@@ -22,9 +23,10 @@
     pub(super) follows: Option<HostId>,
     /// What its current link carries that it has not confirmed yet.
     pub(super) sent_state: Option<SentState>,
-    pub(super) instances: InstanceFeed,
+    /// Time up to which it has been sent all changes of databases, or the leader that it
+    /// follows has sent them; `None` if it may lack any database.
+    pub(super) instances_until: Option<Moment>,
     pub(super) linked: bool,
-    pub(super) linked_at: Moment,
     pub(super) leaving: bool,
     pub(super) last_heard_at: Moment,
     /// Hash of the list of entry hosts last sent to it.
@@ -33,18 +35,17 @@
 
 impl EntryProgress {
     /// State of a host that has opened a link and reported nothing yet.
-    pub(super) fn linked(now: Moment, data_centre: Option<Arc<str>>) -> Self {
+    pub(super) fn linked(now: Moment, hello: EntryHello) -> Self {
         Self {
-            data_centre,
+            hello,
             applied: 0,
             received: 0,
             takes_changes: false,
             routes_version: 0,
             follows: None,
             sent_state: None,
-            instances: InstanceFeed::Unsent,
+            instances_until: None,
             linked: true,
-            linked_at: now,
             leaving: false,
             last_heard_at: now,
             sent_hosts_hash: 0,
@@ -88,14 +89,3 @@
     /// confirmation.
     pub(super) progress_at: Moment,
 }
-
-/// Which databases an entry host has been sent on its current link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum InstanceFeed {
-    /// None.
-    Unsent,
-    /// Not those that changed since it follows the leader, which sends them.
-    Withheld,
-    /// All.
-    Complete,
-}
--- a/crates/decisions/src/control_role/messages.rs
+++ b/crates/decisions/src/control_role/messages.rs
@@ -7,7 +7,7 @@
     clock::Moment,
     entry_role::DataCentreHosts,
     identity::HostId,
-    instances::{InstanceDeparture, InstanceRecord},
+    instances::{InstanceDeparture, InstanceRecord, PackedInstances},
     primaries::ServiceTerm,
     routes::PackedRoutes,
     usage::{UsageNeed, UsageShare},
@@ -110,6 +110,8 @@
     GatewayHosts(Vec<DataCentreHosts>),
     /// Databases that announced themselves.
     Announced(Vec<InstanceRecord>),
+    /// Many databases that announced themselves.
+    PackedInstances(Arc<PackedInstances>),
     /// Databases that announced their departure.
     Departed(Vec<InstanceDeparture>),
     /// Databases that sent no announcement for too long; they may announce
@@ -154,6 +156,10 @@
         /// Data centre of an entry host; older builds do not send it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         data_centre: Option<Arc<str>>,
+        /// True from an entry host that reads [`EntryUpdate::PackedInstances`]; older builds
+        /// do not send it.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        unpacks_instances: bool,
     },
     /// Message between control hosts.
     Control(Box<ControlMessage>),
@@ -198,7 +204,10 @@
             Self::State { routes: Some(_), .. } => "configuration",
             Self::State { routes: None, .. } => "terms",
             Self::Hosts(_) | Self::EntryHosts(_) | Self::GatewayHosts(_) => "hosts",
-            Self::Announced(_) | Self::Departed(_) | Self::Expired(_) => "instances",
+            Self::Announced(_)
+            | Self::PackedInstances(_)
+            | Self::Departed(_)
+            | Self::Expired(_) => "instances",
             Self::Probe { .. } => "probe",
             Self::UsageGrant { .. } => "usage_grant",
         }
--- a/crates/decisions/src/control_role/mod.rs
+++ b/crates/decisions/src/control_role/mod.rs
@@ -5,9 +5,11 @@
 
 mod control_event;
 mod control_host_state;
+mod control_settings;
 mod directory_flow;
 mod entry_flow;
 mod entry_progress;
+mod instance_feed;
 mod messages;
 mod order_flow;
 mod recent_changes;
@@ -16,7 +18,9 @@
 mod usage_flow;
 
 pub use control_event::{
-    ControlEffect, ControlEvent, ControlLogEvent, OperatorOrder, OrderAnswer, PromoteResult,
+    ControlEffect, ControlEvent, ControlLogEvent, EntryHello, OperatorOrder, OrderAnswer,
+    PromoteResult,
 };
-pub use control_host_state::{ControlHost, ControlSettings};
+pub use control_host_state::ControlHost;
+pub use control_settings::ControlSettings;
 pub use messages::{ControlMessage, EntryReport, EntryUpdate, LinkFrame, LinkRole};
--- a/crates/decisions/src/control_role/recent_changes.rs
+++ b/crates/decisions/src/control_role/recent_changes.rs
@@ -23,10 +23,10 @@
         self.0.extend(records.iter().map(|record| (now, record.key.id.clone())));
     }
 
-    /// The databases that changed in the last `period`; `None` if some of them may not
-    /// be kept any more.
-    pub(super) fn within(&self, now: Moment, period: Duration) -> Option<BTreeSet<Arc<str>>> {
-        let changed = self.0.iter().filter(|(at, _)| now.since(*at) <= period);
-        (period <= RETENTION).then(|| changed.map(|(_, id)| id.clone()).collect())
+    /// The databases that changed since `earlier`; `None` if some of them may not be kept
+    /// any more.
+    pub(super) fn since(&self, now: Moment, earlier: Moment) -> Option<BTreeSet<Arc<str>>> {
+        let changed = self.0.iter().filter(|(at, _)| *at >= earlier);
+        (now.since(earlier) <= RETENTION).then(|| changed.map(|(_, id)| id.clone()).collect())
     }
 }
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -17,6 +17,8 @@
 
 /// Time for which the same command is not proposed again.
 const PROPOSAL_DEDUP_WINDOW: Duration = Duration::from_millis(500);
+/// Time between two runs of the leader tasks for each service.
+const TASK_TIME_PER_SERVICE: Duration = Duration::from_micros(20);
 /// Time between two checks for silent databases and silent entry hosts.
 const PERIODIC_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which a new primary must have announced its role: a database
@@ -24,6 +26,17 @@
 const ROLE_CHANGE_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl ControlHost {
+    /// Requests the leader tasks: at once after a pause, else once in a time that grows
+    /// with the number of services. Hundreds of databases that announce themselves would
+    /// otherwise keep the leader from its heartbeats.
+    pub(super) fn request_leader_tasks(&mut self, now: Moment) {
+        if self.leader_state.is_some() {
+            let services = self.control.terms.len() as u32;
+            self.task_pace.set_interval(TASK_TIME_PER_SERVICE * services);
+            self.task_pace.request(now);
+        }
+    }
+
     /// Runs the leader tasks; does nothing on other hosts.
     pub(super) fn run_leader_tasks(&mut self, now: Moment) {
         if !self.is_current_leader(now) {
@@ -302,7 +315,7 @@
             service.and_then(|service| self.leader_state.as_mut()?.changes.get_mut(&service));
         if let (Some(change), Some(status)) = (change, status) {
             change.record_status(key, status);
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 
@@ -319,7 +332,7 @@
             .and_then(|leader_state| leader_state.changes.get_mut(service));
         if let (Some(change), PromoteResult::NotRunning) = (change, result) {
             change.exclude_candidate(key);
-            self.run_leader_tasks(now);
+            self.request_leader_tasks(now);
         }
     }
 }
--- a/crates/decisions/src/control_state/control_command.rs
+++ b/crates/decisions/src/control_state/control_command.rs
@@ -126,3 +126,16 @@
         number: u64,
     },
 }
+
+impl ControlCommand {
+    /// About the size in a message of a command that is not a configuration, in bytes.
+    pub const SMALL_BYTES: usize = 256;
+
+    /// About the size of the command in a message, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        match self {
+            Self::RoutesReplaced { table, .. } => Self::SMALL_BYTES + table.approximate_bytes(),
+            _ => Self::SMALL_BYTES,
+        }
+    }
+}
--- a/crates/decisions/src/control_state/replicated_state.rs
+++ b/crates/decisions/src/control_state/replicated_state.rs
@@ -74,6 +74,20 @@
 }
 
 impl ControlState {
+    /// About the size of the state in a message, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let routes = self.routes.as_ref().map_or(0, |table| table.approximate_bytes());
+        let records = self.services.len()
+            + self.groups.len()
+            + self.hosts.len()
+            + self.plans.len()
+            + self.answers.len()
+            + self.audit.len()
+            + self.terms.len()
+            + self.instances.len();
+        routes + records * ControlCommand::SMALL_BYTES
+    }
+
     /// Applies the command at a log index. An index at or below `applied` was
     /// applied before and has no effect.
     pub fn apply(&mut self, index: u64, command: &ControlCommand) {
--- a/crates/decisions/src/instances/mod.rs
+++ b/crates/decisions/src/instances/mod.rs
@@ -5,6 +5,8 @@
 
 mod instance_directory;
 mod instance_record;
+mod packed_instances;
 
 pub use instance_directory::{DirectoryChange, InstanceDirectory};
 pub use instance_record::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole};
+pub use packed_instances::PackedInstances;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,6 +21,7 @@
 //! - `instances`: `hawthornstack-platform`
 //! - `leases`: both
 //! - `outcomes`: both
+//! - `packing`: `hawthornstack-platform`
 //! - `pg_host`: `hawthornstackd`
 //! - `positions`: both
 //! - `primaries`: `hawthornstack-platform`
@@ -42,6 +43,7 @@
 pub mod instances;
 pub mod leases;
 pub mod outcomes;
+mod packing;
 pub mod pg_host;
 pub mod positions;
 pub mod primaries;
--- a/crates/decisions/src/pg_host/control_flow.rs
+++ b/crates/decisions/src/pg_host/control_flow.rs
@@ -78,7 +78,7 @@
 
     fn compact_log(&mut self, now: Moment) {
         if let Some(agreement) = &mut self.agreement {
-            let effects = agreement.compact(&self.control, self.control.applied);
+            let effects = agreement.compact(&self.control);
             if !effects.is_empty() {
                 self.apply_agreement_effects(now, effects);
             }
--- a/crates/decisions/src/routes/packed_routes.rs
+++ b/crates/decisions/src/routes/packed_routes.rs
@@ -1,16 +1,9 @@
-use std::{
-    fmt,
-    io::{self, Read, Write},
-    sync::Arc,
-};
+use std::{fmt, io, sync::Arc};
 
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
 use super::RouteTable;
-
-/// Largest uncompressed configuration that is read, in bytes.
-const MAX_UNPACKED_BYTES: u64 = 64 * 1024 * 1024;
+use crate::packing::{pack, unpack};
 
 /// A compressed configuration, as sent to entry hosts.
 ///
@@ -43,11 +36,7 @@
     /// Fails if the configuration cannot be encoded or compressed.
     pub fn pack(table: &RouteTable) -> io::Result<Self> {
         let without_source = RouteTable { source: Arc::from(""), ..table.clone() };
-        let mut bytes = Vec::new();
-        ciborium::into_writer(&without_source, &mut bytes).map_err(io::Error::other)?;
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        encoder.write_all(&bytes)?;
-        Ok(Self { version: table.version, packed: encoder.finish()? })
+        Ok(Self { version: table.version, packed: pack(&without_source)? })
     }
 
     /// Decompresses the configuration, without the operator's text.
@@ -56,12 +45,7 @@
     /// Fails if the bytes cannot be decompressed, with `InvalidData` if the result
     /// is not a configuration.
     pub fn unpack(&self) -> io::Result<RouteTable> {
-        let mut bytes = Vec::new();
-        let decoder = DeflateDecoder::new(&*self.packed);
-        decoder.take(MAX_UNPACKED_BYTES).read_to_end(&mut bytes)?;
-        // The decoder's text is left out, as it may quote a key.
-        ciborium::from_reader(&*bytes)
-            .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "cannot decode packed routes"))
+        unpack(&self.packed)
     }
 
     /// Size of the compressed configuration, in bytes.
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -98,6 +98,12 @@
 }
 
 impl RouteTable {
+    /// About the size of the configuration in a message, in bytes: the operator's text and
+    /// what was read from it are about as long.
+    pub fn approximate_bytes(&self) -> usize {
+        2 * self.source.len()
+    }
+
     /// The most urgent priority of each service whose routes have several priorities.
     pub fn urgent_priorities(&self) -> BTreeMap<Arc<str>, u32> {
         let mut priorities: BTreeMap<Arc<str>, BTreeSet<u32>> = BTreeMap::new();
--- a/crates/decisions/src/send_pace.rs
+++ b/crates/decisions/src/send_pace.rs
@@ -12,22 +12,40 @@
 /// would follow each other as fast as the links allow and keep it overloaded.
 #[derive(Debug)]
 pub struct SendPace {
+    shortest: Duration,
+    longest: Duration,
     interval: Duration,
     last_at: Option<Moment>,
     due: Option<Moment>,
+    /// The requested message waits for the end of the interval.
+    is_delayed: bool,
 }
 
 impl SendPace {
     /// Allows one message an interval.
     pub fn new(interval: Duration) -> Self {
-        Self { interval, last_at: None, due: None }
+        Self::growing(interval, interval)
+    }
+
+    /// Allows one message an interval, which doubles, up to `longest`, for as long as
+    /// messages are requested in each of them, and is `shortest` again after a pause.
+    pub fn growing(shortest: Duration, longest: Duration) -> Self {
+        Self { shortest, longest, interval: shortest, last_at: None, due: None, is_delayed: false }
+    }
+
+    /// Allows one message in this interval from now on.
+    pub fn set_interval(&mut self, interval: Duration) {
+        (self.shortest, self.longest, self.interval) = (interval, interval, interval);
     }
 
     /// Requests a message: due at once if none was sent within the interval, else at
     /// its end.
     pub fn request(&mut self, now: Moment) {
-        let earliest = self.last_at.map_or(now, |at| now.max(at + self.interval));
-        self.due.get_or_insert(earliest);
+        if self.due.is_none() {
+            let earliest = self.last_at.map_or(now, |at| now.max(at + self.interval));
+            self.due = Some(earliest);
+            self.is_delayed = earliest > now;
+        }
     }
 
     /// Time at which the requested message is due, if any.
@@ -41,6 +59,10 @@
         if is_due {
             self.due = None;
             self.last_at = Some(now);
+            self.interval = match self.is_delayed {
+                true => self.longest.min(2 * self.interval),
+                false => self.shortest,
+            };
         }
         is_due
     }
--- a/crates/decisions/tests/send_pace.rs
+++ b/crates/decisions/tests/send_pace.rs
@@ -42,3 +42,25 @@
     assert!(pace.take_due(now + INTERVAL));
     assert_eq!(pace.due(), None);
 }
+
+/// Load pattern: each confirmation is answered by the next state, for as long as hundreds of
+/// services change. Guards against confirmations that keep the leader busy, and against an
+/// interval that stays long after the burst.
+#[test]
+fn interval_grows_while_a_burst_lasts() {
+    let mut pace = SendPace::growing(INTERVAL / 10, INTERVAL);
+    let (start, mut now, mut sent) = (Moment::from_millis(1_000), Moment::from_millis(1_000), 0);
+    while now.since(start) < Duration::from_secs(1) {
+        pace.request(now);
+        sent += usize::from(pace.take_due(now));
+        now = now + ROUND_TRIP;
+    }
+    assert!((12..=15).contains(&sent), "{sent} in a second");
+    now = pace.due().expect("the last request");
+    assert!(pace.take_due(now));
+    now = now + 2 * INTERVAL;
+    pace.request(now);
+    assert!(pace.take_due(now), "the first after a pause");
+    pace.request(now + ROUND_TRIP);
+    assert_eq!(pace.due(), Some(now + INTERVAL / 10));
+}
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -360,6 +360,7 @@
         json!({ "EntryHosts": [4, 5] }),
         json!({ "GatewayHosts": [{ "data_centre": "a", "hosts": [4, 5] }] }),
         json!({ "Announced": [instance_record()] }),
+        json!({ "PackedInstances": { "packed": [1, 2, 255] } }),
         json!({ "Departed": [departure()] }),
         json!({ "Expired": [departure()] }),
         json!({ "Probe": { "service": "books", "number": 5 } }),
@@ -426,6 +427,9 @@
         all_variants::<LinkFrame>(&[
             json!({ "Hello": { "role": "Entry", "host": 4 } }),
             json!({ "Hello": { "role": "Entry", "host": 4, "data_centre": "a" } }),
+            json!({ "Hello": {
+                "role": "Entry", "host": 4, "data_centre": "a", "unpacks_instances": true
+            } }),
             json!({ "Control": messages[1] }),
             json!({ "Report": entry_reports()[1] }),
             json!({ "Update": entry_updates()[1] }),
--- a/crates/wire/tests/older_frames.rs
+++ b/crates/wire/tests/older_frames.rs
@@ -1,6 +1,6 @@
 //! Frames of builds that lack newer fields, as in a release that replaces hosts in turn.
 
-use hawthornstack_decisions::control_role::{EntryReport, EntryUpdate};
+use hawthornstack_decisions::control_role::{EntryReport, EntryUpdate, LinkFrame};
 use serde_json::json;
 
 /// Guards against links that close between an older and a newer host, and against a host
@@ -17,4 +17,7 @@
     let update = json!({ "State": { "index": 12, "routes": null, "terms": [] } });
     let update: EntryUpdate = serde_json::from_value(update).expect("an update");
     assert!(matches!(update, EntryUpdate::State { since: 0, index: 12, .. }));
+    let hello = json!({ "Hello": { "role": "Entry", "host": 4 } });
+    let hello: LinkFrame = serde_json::from_value(hello).expect("a frame");
+    assert!(matches!(hello, LinkFrame::Hello { unpacks_instances: false, .. }));
 }
