--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -20,8 +20,8 @@
 };
 use crate::links::{LinkDialler, host_address};
 
-/// Interval between lease renewals; a lease outlasts six lost renewals.
-const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between checks of idle connections and updates of gauges.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between renewals sent to control hosts that are not the leader, to
 /// check that their links still work.
 const FOLLOWER_RENEW_INTERVAL: Duration = Duration::from_secs(2);
@@ -99,9 +99,11 @@
             lacks_routes: false,
         };
         links.dial_all(&seeds);
-        let mut renew_at = Instant::now();
+        let (mut renewed_at, mut upkeep_at) = (None::<Instant>, Instant::now());
         loop {
             links.send_due_renewals();
+            let interval = shared.view.borrow().renewal_interval();
+            let renew_at = renewed_at.map_or_else(Instant::now, |at| at + interval);
             let requested = links.time_to_renewal();
             tokio::select! {
                 biased;
@@ -110,8 +112,11 @@
                 Some(report) = reports.recv() => links.send_to_leader(&report),
                 () = shared.usage.wait_for_request() => links.request_usage(),
                 () = sleep_until(renew_at) => {
-                    renew_at = Instant::now() + RENEW_INTERVAL;
+                    renewed_at = Some(Instant::now());
                     links.renew_all();
+                }
+                () = sleep_until(upkeep_at) => {
+                    upkeep_at = Instant::now() + UPKEEP_INTERVAL;
                     links.shared.trim_pools();
                     links.shared.update_gauges();
                 }
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -168,6 +168,11 @@
         self.entry_hosts = entry_hosts.max(1);
     }
 
+    /// Time between renewals of the lease.
+    pub fn renewal_interval(&self) -> Duration {
+        self.lease.renewal_interval()
+    }
+
     /// Records that a control host sent a message.
     pub fn record_control_message(&mut self, now: Moment) {
         self.control_heard_at = Some(now);
