Send hosts the changes of a configuration

Cause: each configuration went whole to each host, about 60 kB packed.

Change: the leader keeps four earlier configurations. A host that has one of them is sent the edits of its lists of routes and workspaces, with a hash of the result. A host that cannot apply them applies nothing and reports version 0, and gets the configuration whole.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -199,7 +199,7 @@
             EntryUpdate::State { index, since, routes, terms, packed_terms } => {
                 self.leader = Some(host);
                 let has_routes = routes.is_some();
-                let (routes, terms) = match unpack_state(routes, terms, packed_terms) {
+                let (routes, terms) = match unpack_state(&shared, routes, terms, packed_terms) {
                     Ok(state) => state,
                     Err(error) => {
                         tracing::error!(
@@ -363,7 +363,8 @@
             applied: self.confirmations.confirmed(),
             received: Some(view.applied()),
             follows: self.granted_by.filter(|host| self.leader == Some(*host)),
-            routes_version: view.routes_version(),
+            // A whole configuration is sent to a host that has none.
+            routes_version: if self.lacks_routes { 0 } else { view.routes_version() },
             leaving: self.shared.stage.get() != ShutdownStage::Serving,
         };
         if let Some(link) = self.links.get_mut(&host).filter(|link| link.is_open) {
--- a/crates/daemon/src/entry_role/control_updates.rs
+++ b/crates/daemon/src/entry_role/control_updates.rs
@@ -13,13 +13,16 @@
 /// The configuration and the terms of a state, unpacked.
 ///
 /// # Errors
-/// Fails if either cannot be decompressed or decoded.
+/// Fails if either cannot be decompressed or decoded, or if the configuration is a change
+/// of another one than this host has.
 pub(super) fn unpack_state(
+    shared: &EntryShared,
     routes: Option<Arc<PackedRoutes>>,
     terms: Vec<ServiceTerm>,
     packed_terms: Option<Arc<PackedRecords<ServiceTerm>>>,
 ) -> io::Result<(Option<Arc<RouteTable>>, Vec<ServiceTerm>)> {
-    let routes = routes.map(|packed| packed.unpack()).transpose()?;
+    let current = shared.view.borrow().routes().cloned();
+    let routes = routes.map(|packed| packed.unpack(current.as_deref())).transpose()?;
     let unpacked = packed_terms.map(|packed| packed.unpack()).transpose()?;
     Ok((routes.map(Arc::new), unpacked.unwrap_or(terms)))
 }
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -10,6 +10,7 @@
     entry_progress::EntryProgress,
     instance_feed::InstanceFeed,
     order_flow::PendingOrder,
+    route_feed::RouteFeed,
     term_history::{SharedTerms, TermHistory},
 };
 use crate::{
@@ -23,7 +24,6 @@
     instances::InstanceDirectory,
     leases::LeaseTable,
     primaries::{SuspicionPoll, TermChange},
-    routes::PackedRoutes,
     send_pace::SendPace,
     usage::UsageLedger,
 };
@@ -78,7 +78,7 @@
     pub(super) leader_state: Option<LeaderState>,
     pub(super) orders: Vec<PendingOrder>,
     /// The configuration, packed for entry hosts.
-    pub(super) packed: Option<Arc<PackedRoutes>>,
+    pub(super) route_feed: RouteFeed,
     /// The terms last sent to an entry host; most hosts have received the same state.
     pub(super) last_terms: Option<SharedTerms>,
     /// Index of the last command that changed state which entry hosts apply.
@@ -128,7 +128,7 @@
             entry_hosts: BTreeMap::new(),
             leader_state: None,
             orders: Vec::new(),
-            packed: None,
+            route_feed: RouteFeed::default(),
             last_terms: None,
             pending_changes: PendingChanges::default(),
             effects: Vec::new(),
@@ -309,7 +309,13 @@
                 self.effects.push(ControlEffect::Log(ControlLogEvent::VotersChanged(voters)));
             }
             EntryPayload::Command(command) => {
+                let replaced = self.control.routes.clone();
                 self.control.apply(index, &command);
+                if let Some(table) = replaced
+                    && table.version < self.control.routes_version()
+                {
+                    self.route_feed.record_replaced(table);
+                }
                 self.record_applied(now, index, &command);
                 self.answer_orders(index);
             }
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -9,7 +9,7 @@
 };
 use crate::{
     clock::Moment, control_state::ControlCommand, entry_role::DataCentreHosts, identity::HostId,
-    packing::SharedRecords, routes::PackedRoutes,
+    packing::SharedRecords,
 };
 
 /// Time between messages to all entry hosts for each of them: the leader sends and is
@@ -231,17 +231,6 @@
         }
     }
 
-    /// Returns the packed configuration, packing each version once, when it is
-    /// first sent.
-    fn pack_current_routes(&mut self) -> Option<Arc<PackedRoutes>> {
-        let table = self.control.routes.as_ref()?;
-        if self.packed.as_ref().is_none_or(|packed| packed.version != table.version) {
-            // Encoding into memory cannot fail.
-            self.packed = PackedRoutes::pack(table).ok().map(Arc::new);
-        }
-        self.packed.clone()
-    }
-
     /// Sends an entry host what has changed since the last state sent to it. While a
     /// configuration is on its way a newer one waits, so that configurations in quick
     /// succession do not queue on a narrow link: the renewal that confirms the first
@@ -257,8 +246,12 @@
         }
         let takes_changes = entry.takes_changes;
         let is_configuration_awaited = known.routes_version > entry.routes_version;
-        let routes =
-            self.pack_current_routes().filter(|table| table.version > known.routes_version);
+        let reads_changes = entry.hello.unpacks_records;
+        let newer =
+            self.control.routes.as_ref().filter(|table| table.version > known.routes_version);
+        let routes = newer.and_then(|table| {
+            self.route_feed.packed_for(table, known.routes_version, reads_changes)
+        });
         if routes.is_some() && is_configuration_awaited {
             return;
         }
--- a/crates/decisions/src/control_role/mod.rs
+++ b/crates/decisions/src/control_role/mod.rs
@@ -13,6 +13,7 @@
 mod messages;
 mod order_flow;
 mod recent_changes;
+mod route_feed;
 mod term_flow;
 mod term_history;
 mod usage_flow;
--- a/crates/decisions/src/routes/mod.rs
+++ b/crates/decisions/src/routes/mod.rs
@@ -1,7 +1,9 @@
 //! An operator's configuration: which service handles a database name, and how
 //! its requests are served.
 
+mod list_edit;
 mod packed_routes;
+mod route_change;
 mod route_rule;
 mod route_table;
 mod workspace_rule;
--- a/crates/decisions/src/routes/packed_routes.rs
+++ b/crates/decisions/src/routes/packed_routes.rs
@@ -2,10 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RouteTable;
+use super::{RouteTable, route_change::RouteChange};
 use crate::packing::{pack, unpack};
 
-/// A compressed configuration, as sent to entry hosts.
+/// A compressed configuration, or its change from an earlier one, as sent to entry hosts.
 ///
 /// It is compressed once for all of them, since their links are narrow and
 /// thousands of routes differ little. The operator's text is left out, since only
@@ -16,6 +16,9 @@
 pub struct PackedRoutes {
     /// The operator's version.
     pub version: u64,
+    /// Version of the configuration that is changed; `None` if this is a whole one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    since: Option<u64>,
     #[serde(with = "serde_bytes")]
     packed: Vec<u8>,
 }
@@ -24,6 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("PackedRoutes")
             .field("version", &self.version)
+            .field("since", &self.since)
             .field("packed_bytes", &self.packed.len())
             .finish()
     }
@@ -36,16 +40,33 @@
     /// Fails if the configuration cannot be encoded or compressed.
     pub fn pack(table: &RouteTable) -> io::Result<Self> {
         let without_source = RouteTable { source: Arc::from(""), ..table.clone() };
-        Ok(Self { version: table.version, packed: pack(&without_source)? })
+        Ok(Self { version: table.version, since: None, packed: pack(&without_source)? })
     }
 
-    /// Decompresses the configuration, without the operator's text.
+    /// Compresses the change from `old` to `new`.
+    ///
+    /// # Errors
+    /// Fails if the change cannot be encoded or compressed.
+    pub fn pack_change(old: &RouteTable, new: &RouteTable) -> io::Result<Self> {
+        let packed = pack(&RouteChange::between(old, new))?;
+        Ok(Self { version: new.version, since: Some(old.version), packed })
+    }
+
+    /// Decompresses the configuration, without the operator's text; a change is applied to
+    /// `current`.
     ///
     /// # Errors
     /// Fails if the bytes cannot be decompressed, with `InvalidData` if the result
-    /// is not a configuration.
-    pub fn unpack(&self) -> io::Result<RouteTable> {
-        unpack(&self.packed)
+    /// is not a configuration, or a change of another one than `current`.
+    pub fn unpack(&self, current: Option<&RouteTable>) -> io::Result<RouteTable> {
+        let Some(since) = self.since else {
+            return unpack(&self.packed);
+        };
+        let change: RouteChange = unpack(&self.packed)?;
+        let known = current.filter(|table| table.version == since);
+        known.and_then(|table| change.apply(table)).ok_or_else(|| {
+            io::Error::new(io::ErrorKind::InvalidData, "the change is of another configuration")
+        })
     }
 
     /// Size of the compressed configuration, in bytes.
--- a/crates/decisions/src/routes/route_rule.rs
+++ b/crates/decisions/src/routes/route_rule.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Consistency that is guaranteed to the requests of a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Every statement runs at the primary.
     Primary,
@@ -39,7 +39,7 @@
 }
 
 /// How the requests for one database name are served.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route.
     pub name: Arc<str>,
--- a/crates/decisions/src/routes/workspace_rule.rs
+++ b/crates/decisions/src/routes/workspace_rule.rs
@@ -10,7 +10,7 @@
 const MAX_COUNTED: f64 = u32::MAX as f64;
 
 /// Limit for the operations of a workspace, over all hosts together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UsageCap {
     /// Thousandths of an operation per second that may run for any length of time.
     milli_per_second: u64,
@@ -50,7 +50,7 @@
 
 /// The operator's declaration of one workspace: a group of callers that databases
 /// and usage caps tell apart from others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WorkspaceRule {
     /// Name of the workspace, which databases are told.
     pub name: Arc<str>,
--- a/crates/decisions/tests/caller_keys.rs
+++ b/crates/decisions/tests/caller_keys.rs
@@ -234,5 +234,5 @@
     let packed = PackedRoutes::pack(&table).expect("packed");
     let bytes = packed.packed_bytes();
     assert!(bytes < LINK_BYTES_PER_SECOND / 2, "{bytes} bytes");
-    assert_eq!(packed.unpack().expect("unpacked").workspaces, table.workspaces);
+    assert_eq!(packed.unpack(None).expect("unpacked").workspaces, table.workspaces);
 }
--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -17,7 +17,7 @@
     control_role::{ControlEvent, EntryHello, EntryUpdate, OperatorOrder, OrderAnswer},
     entry_role::{CallerAccess, EntryView},
     identity::{CallerKey, HostId},
-    routes::{RouteTable, WorkspaceRule},
+    routes::{PackedRoutes, RouteTable, WorkspaceRule},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -273,7 +273,9 @@
                     host.view.extend_lease(sent_at, duration, required_index, entry_hosts);
                 }
                 EntryUpdate::State { index, since, routes, terms, .. } => {
-                    let routes = routes.map(|packed| Arc::new(packed.unpack().expect("routes")));
+                    let current = host.view.routes().cloned();
+                    let unpack = |packed: Arc<PackedRoutes>| packed.unpack(current.as_deref());
+                    let routes = routes.map(|packed| Arc::new(unpack(packed).expect("routes")));
                     host.view.apply_state(index, since, routes, terms);
                 }
                 _ => {}
--- a/crates/decisions/tests/packed_routes.rs
+++ b/crates/decisions/tests/packed_routes.rs
@@ -48,7 +48,7 @@
 fn routes_round_trip() {
     let table = table(50);
     let packed = PackedRoutes::pack(&table).expect("packed");
-    let unpacked = packed.unpack().expect("unpacked");
+    let unpacked = packed.unpack(None).expect("unpacked");
     assert_eq!(packed.version, 32);
     assert_eq!((unpacked.routes, unpacked.services), (table.routes, table.services));
     assert_eq!(&*unpacked.source, "");
@@ -69,7 +69,7 @@
     let middle = bytes.len() / 2;
     bytes[middle] ^= 0xff;
     let read: Result<PackedRoutes, _> = ciborium::from_reader(&*bytes);
-    let decoded = read.ok().and_then(|read| read.unpack().ok());
+    let decoded = read.ok().and_then(|read| read.unpack(None).ok());
     assert!(decoded.is_none_or(|decoded| decoded.routes != table(50).routes));
 }
 
--- a/crates/decisions/tests/state_feed.rs
+++ b/crates/decisions/tests/state_feed.rs
@@ -13,6 +13,7 @@
     identity::HostId,
     instances::{InstanceRecord, InstanceRole},
     primaries::ServiceTerm,
+    routes::PackedRoutes,
 };
 
 const ENTRY: HostId = HostId(100);
@@ -50,7 +51,9 @@
             if let EntryUpdate::State { index, since, routes, .. } = update
                 && !lost(*index)
             {
-                let routes = routes.as_ref().map(|packed| packed.unpack().expect("routes"));
+                let current = self.view.routes().cloned();
+                let unpack = |packed: &Arc<PackedRoutes>| packed.unpack(current.as_deref());
+                let routes = routes.as_ref().map(|packed| unpack(packed).expect("routes"));
                 self.view.apply_state(*index, *since, routes.map(Arc::new), terms_in(update));
             }
         }
