--- a/crates/decisions/src/control_role/instance_feed.rs
+++ b/crates/decisions/src/control_role/instance_feed.rs
@@ -96,11 +96,11 @@
     fn send_directory(&mut self, now: Moment, host: HostId) -> BTreeSet<Arc<str>> {
         let packed = self.instance_feed.directory.take();
         let recent = packed.filter(|(at, _)| now.since(*at) < DIRECTORY_MAX_AGE);
-        let (at, news) = recent.unwrap_or_else(|| {
+        let (at, records) = recent.unwrap_or_else(|| {
             (now, SharedRecords::new(self.directory.records().cloned().collect()))
         });
-        self.send_instances(host, &news);
-        self.instance_feed.directory = Some((at, news));
+        self.send_instances(host, &records);
+        self.instance_feed.directory = Some((at, records));
         match at == now {
             true => BTreeSet::new(),
             false => self.instance_feed.recent.since(now, at).unwrap_or_default(),
@@ -118,24 +118,24 @@
         if !self.agreement.is_leader() {
             return;
         }
-        let news = SharedRecords::new(self.known_instances(&changed));
+        let records = SharedRecords::new(self.known_instances(&changed));
         for host in self.linked_entry_hosts() {
             let entry = self.entry_hosts.get_mut(&host);
             let Some(entry) = entry.filter(|entry| entry.instances_until >= Some(earlier)) else {
                 continue;
             };
             entry.instances_until = Some(now);
-            self.send_instances(host, &news);
+            self.send_instances(host, &records);
         }
     }
 
-    fn send_instances(&mut self, host: HostId, news: &SharedRecords<InstanceRecord>) {
-        if news.is_empty() {
+    fn send_instances(&mut self, host: HostId, records: &SharedRecords<InstanceRecord>) {
+        if records.is_empty() {
             return;
         }
-        let update = match news.packed_for(self.unpacks_records(host)) {
+        let update = match records.packed_for(self.unpacks_records(host)) {
             Some(packed) => EntryUpdate::PackedInstances(packed),
-            None => EntryUpdate::Announced(news.to_vec()),
+            None => EntryUpdate::Announced(records.to_vec()),
         };
         self.send_entry(host, update);
     }
--- /dev/null
+++ b/crates/decisions/src/packing/mod.rs
@@ -0,0 +1,9 @@
+//! Compression of values that many hosts are sent over narrow links.
+
+mod compression;
+mod packed_records;
+mod shared_records;
+
+pub(crate) use compression::{pack, unpack};
+pub use packed_records::PackedRecords;
+pub(crate) use shared_records::SharedRecords;
