--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -17,8 +17,7 @@
     identity::HostId,
 };
 
-/// Default of [`AgreementSettings::compaction_entries`]: log entries kept in
-/// memory before a snapshot replaces them.
+/// Default of [`AgreementSettings::compaction_entries`].
 pub const COMPACTION_ENTRIES: usize = 2_048;
 /// Length of a leader's lease as a percentage of the election timeout; the
 /// remainder covers clock drift between two hosts.
@@ -50,7 +49,8 @@
     /// Voters of a deployment that is formed for the first time. A leader keeps
     /// replicating to them after they are removed from the voters.
     pub first_voters: BTreeSet<HostId>,
-    /// Log entries kept in memory before a snapshot replaces them.
+    /// Committed log entries after which a snapshot replaces them, once the log is as large
+    /// as the state.
     pub compaction_entries: usize,
     /// Seed for random timeouts and ids; must differ at every start.
     pub seed: u64,
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -28,10 +28,11 @@
     usage::UsageLedger,
 };
 
-/// Number of log entries kept in memory. Entries carry whole configurations,
-/// and this many of the largest allowed size fit into the memory of a small
-/// host.
+/// Committed log entries after which the log is replaced by a snapshot, once it is as large
+/// as the state. This many configurations of the largest allowed size fit into the memory of
+/// a small host.
 const COMPACTION_ENTRIES: usize = 64;
+
 /// State that only the leader keeps; a new leader starts with an empty one.
 #[derive(Debug)]
 pub(super) struct LeaderState {
