Take keys away by changes of configurations in the schedules

The schedules of key_revocation linked hosts of an older build, which are sent whole configurations. Their hosts now read packed records, so that removed keys reach them by changes.

--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -272,11 +272,12 @@
                 EntryUpdate::Grant { sent_at, duration, required_index, entry_hosts } => {
                     host.view.extend_lease(sent_at, duration, required_index, entry_hosts);
                 }
-                EntryUpdate::State { index, since, routes, terms, .. } => {
+                EntryUpdate::State { index, since, routes, terms, packed_terms } => {
                     let current = host.view.routes().cloned();
                     let unpack = |packed: Arc<PackedRoutes>| packed.unpack(current.as_deref());
                     let routes = routes.map(|packed| Arc::new(unpack(packed).expect("routes")));
-                    host.view.apply_state(index, since, routes, terms);
+                    let unpacked = packed_terms.map(|packed| packed.unpack().expect("terms"));
+                    host.view.apply_state(index, since, routes, unpacked.unwrap_or(terms));
                 }
                 _ => {}
             }
@@ -297,8 +298,9 @@
             let now = self.world.now + host.offset;
             let report = renewal(now, host.view.applied(), host.view.routes_version(), None);
             if host.linked.insert(control) {
-                self.world
-                    .handle_event(control, ControlEvent::EntryLinked(entry, EntryHello::default()));
+                // Hosts are sent changes of configurations, by which no removed key returns.
+                let hello = EntryHello { data_centre: None, unpacks_records: true };
+                self.world.handle_event(control, ControlEvent::EntryLinked(entry, hello));
             }
             self.world.handle_event(control, ControlEvent::Entry(entry, report));
         }
