Remove repeated steps from control's feeds

Four places forgot the packed directory beside the message of a removal; three set the interval of a pace and then requested it; send_state packed a change of a configuration before it found that one was still on its way; the feed of configurations cleared what the check of the version clears; a wrapper around the gathering of changed databases was left over; the log summed sizes twice.

Change: broadcast_removal, SendPace::request_every, the check before the packing, RouteFeed::change_from, PackedRecords::unpack_or, reopen_link and bytes_of. One comment said that followers send databases.

Behaviour is the same.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -240,8 +240,7 @@
                         %error,
                         "failed to unpack announcements; a new link requests them again"
                     );
-                    self.lose_leader(host);
-                    return self.dial(host);
+                    return self.reopen_link(host);
                 }
             },
             EntryUpdate::Departed(departures) => record_departures(&shared, host, &departures),
@@ -292,6 +291,12 @@
         self.leader.take_if(|leader| *leader == host).is_some()
     }
 
+    /// Replaces the link to a control host.
+    fn reopen_link(&mut self, host: HostId) {
+        self.lose_leader(host);
+        self.dial(host);
+    }
+
     /// Handles the answer of a control host that is not the leader: dials the
     /// leader that it names, if any, and renews the lease there.
     fn follow_named_leader(&mut self, host: HostId, leader: Option<HostId>) {
@@ -341,8 +346,8 @@
         self.redial_silent_links(now);
     }
 
-    /// Tells the other control hosts that the leader grants leases to this host, so that
-    /// they need not send it what the leader sends.
+    /// Tells the other control hosts that the leader grants leases to this host, and so
+    /// sends it all databases: the next leader sends what changed since.
     fn renew_followers(&mut self, leader: HostId) {
         let followers = self.links.keys().copied().filter(|host| *host != leader);
         let followers: Vec<HostId> = followers.collect();
@@ -411,8 +416,7 @@
                 control = %host,
                 "no answer from the control host; opening a new link"
             );
-            self.lose_leader(host);
-            self.dial(host);
+            self.reopen_link(host);
         }
     }
 }
--- a/crates/daemon/src/entry_role/control_updates.rs
+++ b/crates/daemon/src/entry_role/control_updates.rs
@@ -23,8 +23,8 @@
 ) -> io::Result<(Option<Arc<RouteTable>>, Vec<ServiceTerm>)> {
     let current = shared.view.borrow().routes().cloned();
     let routes = routes.map(|packed| packed.unpack(current.as_deref())).transpose()?;
-    let unpacked = packed_terms.map(|packed| packed.unpack()).transpose()?;
-    Ok((routes.map(Arc::new), unpacked.unwrap_or(terms)))
+    let terms = PackedRecords::unpack_or(packed_terms.as_deref(), terms)?;
+    Ok((routes.map(Arc::new), terms))
 }
 
 /// Records databases that a control host announces.
--- a/crates/decisions/src/agreement/entry_log.rs
+++ b/crates/decisions/src/agreement/entry_log.rs
@@ -83,8 +83,7 @@
             return;
         }
         let kept = (entry.index - self.snapshot.index - 1) as usize;
-        let removed = self.entries.drain(kept..);
-        self.bytes -= removed.map(|entry| entry.payload.approximate_bytes()).sum::<usize>();
+        self.bytes -= bytes_of(self.entries.drain(kept..));
         self.bytes += entry.payload.approximate_bytes();
         self.entries.push_back(entry);
     }
@@ -97,8 +96,7 @@
         }
         if self.term_at(snapshot.index) == Some(snapshot.term) {
             let covered = (snapshot.index - self.snapshot.index) as usize;
-            let removed = self.entries.drain(..covered);
-            self.bytes -= removed.map(|entry| entry.payload.approximate_bytes()).sum::<usize>();
+            self.bytes -= bytes_of(self.entries.drain(..covered));
         } else {
             self.entries.clear();
             self.bytes = 0;
@@ -133,3 +131,7 @@
             .map_or(self.snapshot.index, |entry| entry.index)
     }
 }
+
+fn bytes_of(entries: impl Iterator<Item = LogEntry>) -> usize {
+    entries.map(|entry| entry.payload.approximate_bytes()).sum()
+}
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -30,7 +30,7 @@
         records.retain(|record| {
             self.directory.record_announcement(now, record) == DirectoryChange::Changed
         });
-        if self.publish_instances(now, &records) {
+        if self.gather_changed_instances(now, &records) {
             self.request_leader_tasks(now);
         }
     }
@@ -43,16 +43,7 @@
         mut records: Vec<InstanceRecord>,
     ) -> bool {
         records.retain(|record| self.directory.restore(now, record) == DirectoryChange::Changed);
-        self.publish_instances(now, &records)
-    }
-
-    /// Sends changed records to entry hosts; true if there are any.
-    fn publish_instances(&mut self, now: Moment, changed: &[InstanceRecord]) -> bool {
-        let any = !changed.is_empty();
-        if any {
-            self.gather_changed_instances(now, changed);
-        }
-        any
+        self.gather_changed_instances(now, &records)
     }
 
     /// Fills the directory, which is kept in memory only, from the replicated
@@ -68,8 +59,7 @@
     /// Records a departure announced to this host and forwards it.
     pub(super) fn handle_departure(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.record_departure(&departure) {
-            self.instance_feed.forget_directory();
-            self.broadcast_to_entry_hosts(EntryUpdate::Departed(vec![departure.clone()]));
+            self.broadcast_removal(EntryUpdate::Departed(vec![departure.clone()]));
             self.broadcast_to_peers(&ControlMessage::Departed(vec![departure]));
             self.request_leader_tasks(now);
         }
@@ -81,8 +71,7 @@
             .filter(|departure| self.directory.record_departure(departure))
             .collect();
         if !gone.is_empty() {
-            self.instance_feed.forget_directory();
-            self.broadcast_to_entry_hosts(EntryUpdate::Departed(gone));
+            self.broadcast_removal(EntryUpdate::Departed(gone));
             self.request_leader_tasks(now);
         }
     }
@@ -91,8 +80,7 @@
         for departure in &departures {
             self.directory.remove(departure);
         }
-        self.instance_feed.forget_directory();
-        self.broadcast_to_entry_hosts(EntryUpdate::Expired(departures));
+        self.broadcast_removal(EntryUpdate::Expired(departures));
     }
 
     /// Removes databases that have sent no announcement for the announcement
@@ -100,8 +88,7 @@
     pub(super) fn expire_silent_instances(&mut self, now: Moment) {
         let silent = self.directory.expire(now, self.settings.announcement_lifetime);
         if !silent.is_empty() {
-            self.instance_feed.forget_directory();
-            self.broadcast_to_entry_hosts(EntryUpdate::Expired(silent.clone()));
+            self.broadcast_removal(EntryUpdate::Expired(silent.clone()));
             for departure in silent.clone() {
                 self.propose(now, ControlCommand::InstanceGone(departure));
             }
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -205,8 +205,7 @@
     /// Requests that the committed state is sent to the entry hosts: at once after a pause,
     /// else once in a time that grows with their number.
     pub(super) fn request_state_feed(&mut self, now: Moment) {
-        self.state_pace.set_interval(self.feed_interval());
-        self.state_pace.request(now);
+        self.state_pace.request_every(self.feed_interval(), now);
     }
 
     /// Shortest time between messages to all entry hosts.
@@ -244,24 +243,22 @@
         if known.index >= index {
             return;
         }
-        let takes_changes = entry.takes_changes;
+        let (takes_changes, unpacks) = (entry.takes_changes, entry.hello.unpacks_records);
         let is_configuration_awaited = known.routes_version > entry.routes_version;
-        let reads_changes = entry.hello.unpacks_records;
         let newer =
             self.control.routes.as_ref().filter(|table| table.version > known.routes_version);
-        let routes = newer.and_then(|table| {
-            self.route_feed.packed_for(table, known.routes_version, reads_changes)
-        });
-        if routes.is_some() && is_configuration_awaited {
+        if newer.is_some() && is_configuration_awaited {
             return;
         }
+        let routes = newer
+            .and_then(|table| self.route_feed.packed_for(table, known.routes_version, unpacks));
         let routes_version = routes.as_ref().map_or(known.routes_version, |table| table.version);
         if let Some(entry) = self.entry_hosts.get_mut(&host) {
             entry.sent_state = Some(SentState { index, routes_version, ..known });
         }
         let shared = self.shared_terms(if takes_changes { known.index } else { 0 });
         let since = shared.since;
-        let packed_terms = shared.terms.packed_for(self.unpacks_records(host));
+        let packed_terms = shared.terms.packed_for(unpacks);
         let terms = if packed_terms.is_some() { Vec::new() } else { shared.terms.to_vec() };
         self.send_entry(host, EntryUpdate::State { index, since, routes, terms, packed_terms });
     }
@@ -286,10 +283,6 @@
         shared
     }
 
-    pub(super) fn unpacks_records(&self, host: HostId) -> bool {
-        self.entry_hosts.get(&host).is_some_and(|entry| entry.hello.unpacks_records)
-    }
-
     pub(super) fn broadcast_to_entry_hosts(&mut self, update: EntryUpdate) {
         for host in self.linked_entry_hosts() {
             self.send_entry(host, update.clone());
--- a/crates/decisions/src/control_role/instance_feed.rs
+++ b/crates/decisions/src/control_role/instance_feed.rs
@@ -46,23 +46,31 @@
     pub(super) fn due(&self) -> Option<Moment> {
         self.pace.due()
     }
-
-    /// Forgets the packed directory: a database in it has left, and hosts must not learn
-    /// of it again.
-    pub(super) fn forget_directory(&mut self) {
-        self.directory = None;
-    }
 }
 
 impl ControlHost {
-    /// Gathers databases that changed for the entry hosts.
-    pub(super) fn gather_changed_instances(&mut self, now: Moment, records: &[InstanceRecord]) {
+    /// Gathers databases that changed for the entry hosts; true if there are any.
+    pub(super) fn gather_changed_instances(
+        &mut self,
+        now: Moment,
+        records: &[InstanceRecord],
+    ) -> bool {
+        if records.is_empty() {
+            return false;
+        }
         let interval = CHANGE_INTERVAL.max(self.feed_interval());
         let feed = &mut self.instance_feed;
-        feed.pace.set_interval(interval);
         feed.recent.record(now, records);
         feed.unsent.extend(records.iter().map(|record| record.key.id.clone()));
-        feed.pace.request(now);
+        feed.pace.request_every(interval, now);
+        true
+    }
+
+    /// Tells all entry hosts of databases that are gone. The packed directory may name
+    /// them, and hosts must not learn of them again.
+    pub(super) fn broadcast_removal(&mut self, update: EntryUpdate) {
+        self.instance_feed.directory = None;
+        self.broadcast_to_entry_hosts(update);
     }
 
     /// As the leader, sends an entry host that has renewed its lease the databases that it
@@ -133,7 +141,8 @@
         if records.is_empty() {
             return;
         }
-        let update = match records.packed_for(self.unpacks_records(host)) {
+        let unpacks = self.entry_hosts.get(&host).is_some_and(|entry| entry.hello.unpacks_records);
+        let update = match records.packed_for(unpacks) {
             Some(packed) => EntryUpdate::PackedInstances(packed),
             None => EntryUpdate::Announced(records.to_vec()),
         };
--- a/crates/decisions/src/control_role/route_feed.rs
+++ b/crates/decisions/src/control_role/route_feed.rs
@@ -22,8 +22,6 @@
 impl RouteFeed {
     /// Keeps a configuration that was replaced.
     pub(super) fn record_replaced(&mut self, table: Arc<RouteTable>) {
-        self.whole = None;
-        self.changes.clear();
         self.earlier.push_back(table);
         while self.earlier.len() > KEPT_CONFIGURATIONS {
             self.earlier.pop_front();
@@ -43,19 +41,19 @@
             self.whole = PackedRoutes::pack(table).ok().map(Arc::new);
             self.changes.clear();
         }
-        let base = self.earlier.iter().find(|earlier| earlier.version == known);
-        if let (true, Some(base)) = (reads_changes, base) {
-            if !self.changes.contains_key(&known)
-                && let Ok(packed) = PackedRoutes::pack_change(base, table)
-            {
-                self.changes.insert(known, Arc::new(packed));
-            }
-            let whole_bytes = self.whole.as_ref().map_or(usize::MAX, |whole| whole.packed_bytes());
-            let change = self.changes.get(&known);
-            if let Some(change) = change.filter(|change| change.packed_bytes() < whole_bytes) {
-                return Some(change.clone());
-            }
+        let change = if reads_changes { self.change_from(known, table) } else { None };
+        let forms = [self.whole.clone(), change];
+        forms.into_iter().flatten().min_by_key(|packed| packed.packed_bytes())
+    }
+
+    /// The change to the configuration from an earlier version, if that is kept.
+    fn change_from(&mut self, version: u64, table: &RouteTable) -> Option<Arc<PackedRoutes>> {
+        if let Some(change) = self.changes.get(&version) {
+            return Some(change.clone());
         }
-        self.whole.clone()
+        let base = self.earlier.iter().find(|earlier| earlier.version == version)?;
+        let change = Arc::new(PackedRoutes::pack_change(base, table).ok()?);
+        self.changes.insert(version, change.clone());
+        Some(change)
     }
 }
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -32,8 +32,7 @@
     pub(super) fn request_leader_tasks(&mut self, now: Moment) {
         if self.leader_state.is_some() {
             let services = self.control.terms.len() as u32;
-            self.task_pace.set_interval(TASK_TIME_PER_SERVICE * services);
-            self.task_pace.request(now);
+            self.task_pace.request_every(TASK_TIME_PER_SERVICE * services, now);
         }
     }
 
--- a/crates/decisions/src/packing/packed_records.rs
+++ b/crates/decisions/src/packing/packed_records.rs
@@ -34,6 +34,14 @@
         unpack(&self.packed)
     }
 
+    /// The records of a message that holds them either packed or plain.
+    ///
+    /// # Errors
+    /// As [`unpack`](Self::unpack).
+    pub fn unpack_or(packed: Option<&Self>, plain: Vec<T>) -> io::Result<Vec<T>> {
+        packed.map_or(Ok(plain), Self::unpack)
+    }
+
     /// Size of the compressed records, in bytes.
     pub fn packed_bytes(&self) -> usize {
         self.packed.len()
--- a/crates/decisions/src/send_pace.rs
+++ b/crates/decisions/src/send_pace.rs
@@ -33,11 +33,6 @@
         Self { shortest, longest, interval: shortest, last_at: None, due: None, is_delayed: false }
     }
 
-    /// Allows one message in this interval from now on.
-    pub fn set_interval(&mut self, interval: Duration) {
-        (self.shortest, self.longest, self.interval) = (interval, interval, interval);
-    }
-
     /// Requests a message: due at once if none was sent within the interval, else at
     /// its end.
     pub fn request(&mut self, now: Moment) {
@@ -48,6 +43,12 @@
         }
     }
 
+    /// Requests a message, of which this interval allows one from now on.
+    pub fn request_every(&mut self, interval: Duration, now: Moment) {
+        (self.shortest, self.longest, self.interval) = (interval, interval, interval);
+        self.request(now);
+    }
+
     /// Time at which the requested message is due, if any.
     pub fn due(&self) -> Option<Moment> {
         self.due
