Share the start of the simulated control hosts between tests

Cause: six files waited for a leader in the same three lines, and control_bursts, state_feed, log_resends and instance_feed each linked entry hosts or announced primaries in their own way.

Change: start_with_leader, link_and_renew and announce_primary are in control_world, and its records in a file of their own. No assertion, bound or load is changed; control_bursts and one test of instance_feed set the time of a disk sync after the election instead of before it.

--- a/crates/decisions/tests/control_bursts.rs
+++ b/crates/decisions/tests/control_bursts.rs
@@ -9,7 +9,7 @@
 use hawthornstack_decisions::{
     control_role::{ControlEvent, EntryHello, EntryUpdate, OperatorOrder},
     identity::HostId,
-    instances::{InstanceRecord, InstanceRole},
+    instances::InstanceRole,
     routes::RouteTable,
 };
 
@@ -17,25 +17,12 @@
 const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn world_with_leader() -> (ControlWorld, HostId) {
-    let mut world = ControlWorld::start(3);
+    let (mut world, leader) = ControlWorld::start_with_leader();
     // Real disks sync the records that have gathered together.
     world.hosts.values_mut().for_each(|host| host.sync_time = SECOND / 100_000);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
     (world, leader)
 }
 
-fn announce_primary(world: &mut ControlWorld, leader: HostId, number: u64) {
-    let service = Arc::from(format!("service-{number}"));
-    let record = InstanceRecord { service, ..numbered_instance(number, InstanceRole::Primary) };
-    world.announce(leader, &record);
-}
-
-fn link_and_renew(world: &mut ControlWorld, leader: HostId, host: HostId) {
-    world.handle_event(leader, ControlEvent::EntryLinked(host, EntryHello::default()));
-    world.handle_event(leader, ControlEvent::Entry(host, renewal(world.now, 0, 0, None)));
-}
-
 fn states_sent_to(world: &ControlWorld, to: HostId) -> usize {
     let updates = world.updates.iter().filter(|(host, _)| *host == to);
     updates.filter(|(_, update)| matches!(update, EntryUpdate::State { .. })).count()
@@ -86,12 +73,12 @@
     const SERVICES: u64 = 200;
     let (mut world, leader) = world_with_leader();
     for number in 0..HOSTS {
-        link_and_renew(&mut world, leader, HostId(100 + number));
+        world.link_and_renew(leader, HostId(100 + number), EntryHello::default());
     }
     world.run(SECOND / 10);
     let before = states_sent_to(&world, HostId(150));
     for number in 0..SERVICES {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
         world.run(MILLISECOND);
     }
     world.run(SECOND / 10);
@@ -114,7 +101,7 @@
     const SERVICES: u64 = 500;
     let (mut world, leader) = world_with_leader();
     for number in 0..SERVICES {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
         world.run(MILLISECOND);
     }
     world.run(SECOND);
@@ -122,11 +109,11 @@
         world.host(leader).map(|host| host.agreement().log().last_index()).expect("the leader")
     };
     let before = length(&world);
-    announce_primary(&mut world, leader, SERVICES);
+    world.announce_primary(leader, SERVICES);
     let first = length(&world);
     assert!(first > before, "the first announcement waits");
     for number in 1..=5 {
-        announce_primary(&mut world, leader, SERVICES + number);
+        world.announce_primary(leader, SERVICES + number);
     }
     assert_eq!(length(&world), first, "each announcement ran the tasks");
     world.run(20 * MILLISECOND);
@@ -145,7 +132,7 @@
         world.handle_event(control, ControlEvent::Entry(HOST, report));
     }
     for number in 0..20 {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
         world.run(10 * MILLISECOND);
     }
     let sent = world.updates.iter().rev().find_map(|(_, update)| match update {
@@ -156,7 +143,7 @@
     world.run(2 * SECOND);
     let next = world.leader().expect("a new leader");
     world.updates.clear();
-    announce_primary(&mut world, next, 20);
+    world.announce_primary(next, 20);
     world.run(SECOND / 10);
     assert_eq!(states_sent_to(&world, HOST), 0, "sent without a report");
     let report = renewal(world.now, sent.expect("a state"), 0, None);
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -2,7 +2,9 @@
 //! with a sync time, and hosts that stop, freeze, lose their disks or are cut
 //! off.
 
-#![allow(dead_code, missing_docs)]
+#![allow(dead_code, missing_docs, unused_imports)]
+
+mod records;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,16 +16,17 @@
     agreement::{AgreementMessage, AppendMessage, JournalRecord},
     clock::Moment,
     control_role::{
-        ControlEffect, ControlEvent, ControlHost, ControlMessage, ControlSettings, EntryReport,
+        ControlEffect, ControlEvent, ControlHost, ControlMessage, ControlSettings, EntryHello,
         EntryUpdate, OperatorOrder, OrderAnswer, PromoteResult,
     },
     identity::HostId,
-    instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
+    instances::{InstanceKey, InstanceRecord, InstanceRole},
     positions::LogPosition,
     primaries::InstanceStatus,
-    routes::{RouteTable, ServiceRule, TrafficLimits},
 };
 
+pub use records::{departure_of, instance, numbered_instance, renewal, table};
+
 /// One-way delay between two hosts.
 const LINK_DELAY: Duration = Duration::from_millis(1);
 /// Default duration of a disk sync.
@@ -119,6 +122,14 @@
         world
     }
 
+    /// Starts three hosts and waits for their leader.
+    pub fn start_with_leader() -> (Self, HostId) {
+        let mut world = Self::start(3);
+        world.run(Duration::from_secs(3));
+        let leader = world.leader().expect("a leader");
+        (world, leader)
+    }
+
     /// Starts a host with what its disk holds.
     pub fn boot(&mut self, id: HostId, bootstrap: bool) {
         let settings = ControlSettings {
@@ -242,6 +253,19 @@
         self.step(id, ControlEvent::Announced(record.clone()));
     }
 
+    /// Announces the primary of a service of its own.
+    pub fn announce_primary(&mut self, id: HostId, number: u64) {
+        let service = Arc::from(format!("service-{number}"));
+        let record = numbered_instance(number, InstanceRole::Primary);
+        self.announce(id, &InstanceRecord { service, ..record });
+    }
+
+    /// Links an entry host without any state to a control host, where it renews its lease.
+    pub fn link_and_renew(&mut self, at: HostId, entry: HostId, hello: EntryHello) {
+        self.step(at, ControlEvent::EntryLinked(entry, hello));
+        self.step(at, ControlEvent::Entry(entry, renewal(self.now, 0, 0, None)));
+    }
+
     /// Repeats the announcements of all databases that answer, as they do themselves.
     pub fn repeat_announcements(&mut self, id: HostId) {
         let mut records: Vec<InstanceRecord> = self.instances.values().cloned().collect();
@@ -449,59 +473,3 @@
         }
     }
 }
-
-/// A configuration without routes.
-pub fn table(version: u64) -> RouteTable {
-    RouteTable {
-        version,
-        routes: Vec::new(),
-        services: vec![ServiceRule {
-            name: Arc::from("books"),
-            max_connections: 16,
-            sync_replicas: 0,
-        }],
-        limits: TrafficLimits { transaction_idle: Duration::from_secs(3) },
-        workspaces: None,
-        source: Arc::from(format!("{{\"version\":{version}}}")),
-    }
-}
-
-/// A database of the service `books`.
-pub fn instance(id: &str, born_ms: u64, role: InstanceRole) -> InstanceRecord {
-    let port = 8_000 + id.bytes().map(u16::from).sum::<u16>() + (born_ms % 100) as u16;
-    InstanceRecord {
-        key: InstanceKey { id: Arc::from(id), born_ms },
-        sequence: 1,
-        service: Arc::from("books"),
-        address: ([10, 0, 0, 9], port).into(),
-        data_centre: Arc::from("a"),
-        slots: 2,
-        draining: false,
-        role,
-        warm_up: Duration::ZERO,
-    }
-}
-
-/// One of many databases, with an address of its own.
-pub fn numbered_instance(number: u64, role: InstanceRole) -> InstanceRecord {
-    InstanceRecord {
-        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 5_432).into(),
-        ..instance(&format!("i-{number}"), 1, role)
-    }
-}
-
-/// The renewal of an entry host that has received and applied the state at this index.
-pub fn renewal(
-    sent_at: Moment,
-    applied: u64,
-    routes_version: u64,
-    follows: Option<HostId>,
-) -> EntryReport {
-    let received = Some(applied);
-    EntryReport::Renew { sent_at, applied, received, routes_version, follows, leaving: false }
-}
-
-/// The departure of a database.
-pub fn departure_of(record: &InstanceRecord) -> InstanceDeparture {
-    InstanceDeparture { id: record.key.id.clone(), born_ms: Some(record.key.born_ms) }
-}
--- a/crates/decisions/tests/instance_feed.rs
+++ b/crates/decisions/tests/instance_feed.rs
@@ -34,9 +34,7 @@
 /// An entry host that is linked to all control hosts and follows the leader, which is
 /// returned with another control host.
 fn world_with_follower() -> (ControlWorld, HostId, HostId) {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (mut world, leader) = ControlWorld::start_with_leader();
     let other = CONTROL_HOSTS.into_iter().find(|host| *host != leader).expect("a follower");
     for host in CONTROL_HOSTS {
         world.handle_event(host, ControlEvent::EntryLinked(ENTRY, EntryHello::default()));
@@ -83,10 +81,7 @@
 /// Links a host that follows nobody to all control hosts, and lets it renew at each.
 fn link_host(world: &mut ControlWorld, host: HostId, unpacks_records: bool) {
     for control in CONTROL_HOSTS {
-        let hello = EntryHello { data_centre: None, unpacks_records };
-        world.handle_event(control, ControlEvent::EntryLinked(host, hello));
-        let report = renewal(world.now, 0, 0, None);
-        world.handle_event(control, ControlEvent::Entry(host, report));
+        world.link_and_renew(control, host, EntryHello { data_centre: None, unpacks_records });
     }
 }
 
@@ -152,11 +147,9 @@
 /// and for each entry host.
 #[test]
 fn directory_is_packed_once_at_a_start() {
-    let mut world = ControlWorld::start(3);
+    let (mut world, leader) = ControlWorld::start_with_leader();
     // Real disks sync the records that have gathered together.
     world.hosts.values_mut().for_each(|host| host.sync_time = SECOND / 100_000);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
     for number in 0..700 {
         world.announce(leader, &replica(number, 1));
     }
@@ -185,16 +178,19 @@
     assert!(bytes < plain / 4, "{bytes} bytes, {plain} without packing");
 }
 
-/// Guards against a packed directory that names a database which left after it was packed.
-#[test]
-fn packed_directory_forgets_departed_databases() {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+fn world_with_databases() -> (ControlWorld, HostId) {
+    let (mut world, leader) = ControlWorld::start_with_leader();
     for number in 0..20 {
         world.announce(leader, &replica(number, 1));
     }
     world.run(SECOND / 10);
+    (world, leader)
+}
+
+/// Guards against a packed directory that names a database which left after it was packed.
+#[test]
+fn packed_directory_forgets_departed_databases() {
+    let (mut world, leader) = world_with_databases();
     link_host(&mut world, ENTRY, true);
     assert_eq!(announced_ids(&world).len(), 20);
     world.handle_event(leader, ControlEvent::Departed(departure_of(&replica(8, 1))));
@@ -208,13 +204,7 @@
 /// and again.
 #[test]
 fn older_builds_get_plain_records() {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
-    for number in 0..20 {
-        world.announce(leader, &replica(number, 1));
-    }
-    world.run(SECOND / 10);
+    let (mut world, leader) = world_with_databases();
     link_host(&mut world, ENTRY, false);
     assert_eq!(announcements(&world), [(leader, 20)]);
     assert!(
--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -17,6 +17,7 @@
     control_role::{ControlEvent, EntryHello, EntryUpdate, OperatorOrder, OrderAnswer},
     entry_role::{CallerAccess, EntryView},
     identity::{CallerKey, HostId},
+    packing::PackedRecords,
     routes::{PackedRoutes, RouteTable, WorkspaceRule},
 };
 use rand::{RngExt, SeedableRng};
@@ -276,8 +277,8 @@
                     let current = host.view.routes().cloned();
                     let unpack = |packed: Arc<PackedRoutes>| packed.unpack(current.as_deref());
                     let routes = routes.map(|packed| Arc::new(unpack(packed).expect("routes")));
-                    let unpacked = packed_terms.map(|packed| packed.unpack().expect("terms"));
-                    host.view.apply_state(index, since, routes, unpacked.unwrap_or(terms));
+                    let terms = PackedRecords::unpack_or(packed_terms.as_deref(), terms);
+                    host.view.apply_state(index, since, routes, terms.expect("terms"));
                 }
                 _ => {}
             }
--- a/crates/decisions/tests/log_resends.rs
+++ b/crates/decisions/tests/log_resends.rs
@@ -5,9 +5,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use control_world::{ControlWorld, renewal, table};
+use control_world::{ControlWorld, table};
 use hawthornstack_decisions::{
-    control_role::{ControlEvent, EntryHello, OperatorOrder},
+    control_role::{EntryHello, OperatorOrder},
     identity::HostId,
     routes::RouteTable,
 };
@@ -21,18 +21,13 @@
 const JOIN_INTERVAL: Duration = Duration::from_micros(100);
 
 fn world_with_leader() -> (ControlWorld, HostId, HostId) {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (world, leader) = ControlWorld::start_with_leader();
     let follower = if leader == HostId(3) { HostId(2) } else { HostId(3) };
     (world, leader, follower)
 }
 
 fn join(world: &mut ControlWorld, leader: HostId, number: u32) {
-    let host = HostId(1_000 + number);
-    world.handle_event(leader, ControlEvent::EntryLinked(host, EntryHello::default()));
-    let report = renewal(world.now, 0, 0, None);
-    world.handle_event(leader, ControlEvent::Entry(host, report));
+    world.link_and_renew(leader, HostId(1_000 + number), EntryHello::default());
 }
 
 /// Guards against a resend of all missing entries for each append that the host rejects:
--- a/crates/decisions/tests/route_changes.rs
+++ b/crates/decisions/tests/route_changes.rs
@@ -96,9 +96,7 @@
 /// them, or none of them, and the configuration that results.
 fn feed(confirms: bool, unpacks_records: bool) -> (usize, RouteTable) {
     const HOST: HostId = HostId(100);
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (mut world, leader) = ControlWorld::start_with_leader();
     let hello = EntryHello { data_centre: None, unpacks_records };
     world.handle_event(leader, ControlEvent::EntryLinked(HOST, hello));
     let numbers: Vec<u64> = (0..500).collect();
--- a/crates/decisions/tests/state_feed.rs
+++ b/crates/decisions/tests/state_feed.rs
@@ -5,13 +5,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use control_world::{ControlWorld, numbered_instance, renewal, table};
+use control_world::{ControlWorld, renewal, table};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{ControlEvent, EntryHello, EntryReport, EntryUpdate, OperatorOrder},
     entry_role::EntryView,
     identity::HostId,
-    instances::{InstanceRecord, InstanceRole},
+    packing::PackedRecords,
     primaries::ServiceTerm,
     routes::PackedRoutes,
 };
@@ -62,9 +62,7 @@
 }
 
 fn world_with_entry() -> (ControlWorld, HostId, FedHost) {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (mut world, leader) = ControlWorld::start_with_leader();
     assert!(world.replace(1, SECOND));
     let hello = EntryHello { data_centre: None, unpacks_records: true };
     world.handle_event(leader, ControlEvent::EntryLinked(ENTRY, hello));
@@ -77,16 +75,11 @@
     (world, leader, host)
 }
 
-fn announce_primary(world: &mut ControlWorld, leader: HostId, number: u64) {
-    let service = Arc::from(format!("service-{number}"));
-    let record = InstanceRecord { service, ..numbered_instance(number, InstanceRole::Primary) };
-    world.announce(leader, &record);
-}
-
 fn terms_in(update: &EntryUpdate) -> Vec<ServiceTerm> {
     match update {
-        EntryUpdate::State { packed_terms: Some(packed), .. } => packed.unpack().expect("terms"),
-        EntryUpdate::State { terms, .. } => terms.clone(),
+        EntryUpdate::State { terms, packed_terms, .. } => {
+            PackedRecords::unpack_or(packed_terms.as_deref(), terms.clone()).expect("terms")
+        }
         _ => Vec::new(),
     }
 }
@@ -113,7 +106,7 @@
     let (mut world, leader, mut host) = world_with_entry();
     let before = sent_states(&world).map(|(.., terms)| terms).sum::<usize>();
     for number in 0..SERVICES {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
         world.run(SECOND / 50);
         // Renewals in between confirm nothing: the link is slow.
         if number % 10 == 0 {
@@ -134,16 +127,13 @@
 fn returning_hosts_share_packed_terms() {
     let (mut world, leader, _) = world_with_entry();
     for number in 0..SERVICES {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
     }
     world.run(SECOND);
     world.updates.clear();
     for number in 0..100 {
-        let host = HostId(200 + number);
         let hello = EntryHello { data_centre: None, unpacks_records: true };
-        world.handle_event(leader, ControlEvent::EntryLinked(host, hello));
-        let report = renewal(world.now, 0, 0, None);
-        world.handle_event(leader, ControlEvent::Entry(host, report));
+        world.link_and_renew(leader, HostId(200 + number), hello);
     }
     let packed = world.updates.iter().filter_map(|(_, update)| match update {
         EntryUpdate::State { packed_terms, .. } => Some(packed_terms.clone().expect("packed")),
@@ -162,10 +152,10 @@
 fn lost_changes_are_sent_again() {
     let (mut world, leader, mut host) = world_with_entry();
     let applied = host.view.applied();
-    announce_primary(&mut world, leader, 0);
+    world.announce_primary(leader, 0);
     world.run(SECOND / 10);
     let lost: BTreeSet<u64> = sent_states(&world).map(|(index, ..)| index).collect();
-    announce_primary(&mut world, leader, 1);
+    world.announce_primary(leader, 1);
     world.run(SECOND / 10);
     host.receive(&world, |index| lost.contains(&index));
     assert_eq!(host.view.applied(), applied, "changes were applied without the ones before");
@@ -186,7 +176,7 @@
     host.reports_received = false;
     host.renew(&mut world, leader);
     for number in 0..4 {
-        announce_primary(&mut world, leader, number);
+        world.announce_primary(leader, number);
         world.run(SECOND / 10);
     }
     for (_, update) in &world.updates[host.seen..] {
@@ -232,7 +222,7 @@
         world.run(SECOND / 2);
     }
     let began: Moment = world.now;
-    announce_primary(&mut world, leader, 0);
+    world.announce_primary(leader, 0);
     world.run(SECOND / 50);
     host.receive(&world, |_| false);
     assert_eq!(known_services(&world, &host, leader), (1, 1), "after {:?}", world.now.since(began));
--- a/crates/decisions/tests/voter_replacement.rs
+++ b/crates/decisions/tests/voter_replacement.rs
@@ -16,9 +16,7 @@
 
 #[test]
 fn seeds_become_the_first_voters() {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (mut world, leader) = ControlWorld::start_with_leader();
     assert_eq!(world.voters(leader), ids(&[1, 2, 3]));
     assert!(world.replace(5, SECOND));
 }
--- a/crates/decisions/tests/whole_configurations.rs
+++ b/crates/decisions/tests/whole_configurations.rs
@@ -17,9 +17,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn start_world() -> (ControlWorld, HostId) {
-    let mut world = ControlWorld::start(3);
-    world.run(3 * SECOND);
-    let leader = world.leader().expect("a leader");
+    let (world, leader) = ControlWorld::start_with_leader();
     (world, leader)
 }
 
