Review case 4: a killed control host leaves the first start without a leader

The host that formed the group is eligible and the others are not, and each side refuses the votes of the other.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -893,6 +893,11 @@
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
+    /// Sends SIGKILL without a detour through a shell.
+    pub fn kill_now(&mut self) {
+        let _ = self.child.kill();
+    }
+
     /// Waits for the end of a process that got a signal; false if it does not end.
     pub fn wait_for_end(&mut self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
@@ -971,6 +976,22 @@
     /// Starts 3 control hosts, `entries` entry hosts and 3 databases; the first
     /// configuration is in force and all entry hosts are ready when this returns.
     pub fn start(case: &Path, number: u8, entries: u8, config: &str) -> Self {
+        let mut deployment = Self::prepare(case, number);
+        deployment.start_hosts(entries);
+        let control = deployment.control_addresses();
+        let answer =
+            operator_order(&deployment.record, &control, "POST", "/Config.Replace", config);
+        if answer.status != 200 {
+            cannot_run(&deployment.record, "the first configuration was refused");
+        }
+        for index in 0..entries as usize {
+            deployment.wait_until_ready(index);
+        }
+        deployment
+    }
+
+    /// Starts the databases and the platform, and no process of the project yet.
+    pub fn prepare(case: &Path, number: u8) -> Self {
         let record = Record::create(case);
         let network = [127, 100 + (std::process::id() % 100) as u8, number];
         let folder = std::env::temp_dir()
@@ -988,7 +1009,7 @@
         let group = Group::start(&record, &addresses);
         let platform_address = at(40, free_port());
         let platform = Platform::start(&group, platform_address, Duration::from_millis(300));
-        let mut deployment = Self {
+        Self {
             record,
             folder,
             group,
@@ -999,26 +1020,20 @@
             network,
             platform_address,
             seeds: vec![1, 2, 3],
-        };
+        }
+    }
+
+    /// Starts the whole system for the first time; the databases announce themselves.
+    pub fn start_hosts(&mut self, entries: u8) {
         for number in 1..=3 {
-            let process = deployment.spawn("control", number, true);
-            deployment.control.push(process);
+            let process = self.spawn("control", number, true);
+            self.control.push(process);
         }
         for number in 0..entries {
-            let process = deployment.spawn("entry", 10 + number, true);
-            deployment.entries.push(process);
-        }
-        let control = deployment.control_addresses();
-        deployment.group.announce_to(control.clone());
-        let answer =
-            operator_order(&deployment.record, &control, "POST", "/Config.Replace", config);
-        if answer.status != 200 {
-            cannot_run(&deployment.record, "the first configuration was refused");
+            let process = self.spawn("entry", 10 + number, true);
+            self.entries.push(process);
         }
-        for index in 0..entries as usize {
-            deployment.wait_until_ready(index);
-        }
-        deployment
+        self.group.announce_to(self.control_addresses());
     }
 
     /// Starts a host; `bootstrap` is true only when the whole system starts for the first
