--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -49,7 +49,7 @@
     if has_trouble() {
         deployment.group.set_deaf(2, true);
     }
-    wait_until(4.88);
+    wait_until(4.98);
     deployment.group.set_draining(0, true);
     wait_until(9.0);
     if has_trouble() {
