Promote only databases that hold every acknowledged commit

Cause: TermChange took the databases that may be promoted for all that may hold an acknowledged commit. A replica that had drained for too long to be promoted was the only one with the last commits, so the rule that one of the replicas that answered holds them was applied to one that was behind. After 1.5 s the old primary's answer was ignored, too. Ruled out: the fencing of entry hosts and the times of the announcements.

Change: LogReports tells up to which position commits can have been acknowledged, from all replicas and the fenced primary; only a database that has reached it is chosen. Replicas that leave during a term stay on record until others hold what they had. A drained replica is promoted only if the old primary is gone, and its term starts with a planned change, so that it gets no work. A planned change waits until a replica has about caught up, or for the end of the drain period.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -23,7 +23,7 @@
     identity::HostId,
     instances::InstanceDirectory,
     leases::LeaseTable,
-    primaries::{SuspicionPoll, TermChange},
+    primaries::{CatchUpProbe, SuspicionPoll, TermChange},
     send_pace::SendPace,
     usage::UsageLedger,
 };
@@ -41,6 +41,8 @@
     /// Polls by service, with the number of the term that each is about.
     pub(super) polls: BTreeMap<Arc<str>, (u64, SuspicionPoll)>,
     pub(super) changes: BTreeMap<Arc<str>, TermChange>,
+    /// Probes of services whose replicas must have caught up before a planned change.
+    pub(super) catch_ups: BTreeMap<Arc<str>, CatchUpProbe>,
     /// Time at which this leader first saw the steady phase of a service's term
     /// of that number.
     pub(super) steady_since: BTreeMap<Arc<str>, (u64, Moment)>,
@@ -395,6 +397,7 @@
                 .with_earlier_leases(now, ENTRY_LEASE_DURATION),
             polls: BTreeMap::new(),
             changes: BTreeMap::new(),
+            catch_ups: BTreeMap::new(),
             steady_since: BTreeMap::new(),
             without_successor: BTreeMap::new(),
             recent_proposals: Vec::new(),
--- a/crates/decisions/src/control_role/mod.rs
+++ b/crates/decisions/src/control_role/mod.rs
@@ -3,6 +3,7 @@
 //! hosts and changes of primary. In this module, the configuration is the
 //! operators' [`RouteTable`](crate::routes::RouteTable).
 
+mod catch_up_flow;
 mod control_event;
 mod control_host_state;
 mod control_settings;
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -48,6 +48,7 @@
             self.propose_once(now, command);
         }
         self.advance_primary_changes(now);
+        self.advance_catch_up_probes(now);
     }
 
     /// Proposes a command unless the same one was proposed within
@@ -169,7 +170,7 @@
                 Some(record) if record.draining => {
                     let limit = self.settings.drain_limit();
                     let drained = self.directory.has_drained(now, &term.primary, limit);
-                    (drained || self.has_successor(now, term)).then_some(true)
+                    (drained || self.has_ready_successor(now, term)).then_some(true)
                 }
                 Some(record) if record.role == InstanceRole::Replica => {
                     let silence = self
@@ -201,7 +202,7 @@
     /// True if another database can replace a draining primary: one that does not
     /// drain and has lately announced itself, also since this term began. A database
     /// that just failed, or did not answer in an abandoned change, has not.
-    fn has_successor(&self, now: Moment, term: &ServiceTerm) -> bool {
+    pub(super) fn has_successor(&self, now: Moment, term: &ServiceTerm) -> bool {
         let silence_limit =
             now.since(self.steady_since(now, term)).min(self.settings.successor_silence());
         self.directory.instances_of_service(&term.service).any(|record| {
@@ -212,6 +213,14 @@
         })
     }
 
+    /// The same, where commits are acknowledged once replicas have them, for a database
+    /// that has received about all that the primary has: until it has received all, no
+    /// host may write.
+    fn has_ready_successor(&self, now: Moment, term: &ServiceTerm) -> bool {
+        self.has_successor(now, term)
+            && (self.sync_replicas(&term.service) == 0 || self.has_caught_up_replica(now, term))
+    }
+
     /// Time since which this leader knows the term to be steady.
     fn steady_since(&self, now: Moment, term: &ServiceTerm) -> Moment {
         let known =
@@ -256,10 +265,9 @@
                 Some(change) => change.next_phase(now, term),
                 None => TermChange::new(now, term),
             };
-            let routes = self.control.routes.as_ref();
-            let service_rule = routes.and_then(|table| table.service(&term.service));
             let rules = SuccessionRules {
-                sync_replicas: service_rule.map_or(0, |rule| rule.sync_replicas),
+                sync_replicas: self.sync_replicas(&term.service),
+                unseen_replicas: self.count_unseen_replicas(term),
                 drain_limit: self.settings.drain_limit(),
             };
             let next = change.next_steps(now, term, &self.directory, view, rules);
@@ -273,15 +281,32 @@
         }
     }
 
+    /// Number of replicas of a service that hold each acknowledged commit.
+    pub(super) fn sync_replicas(&self, service: &str) -> u32 {
+        let routes = self.control.routes.as_ref();
+        routes.and_then(|table| table.service(service)).map_or(0, |rule| rule.sync_replicas)
+    }
+
+    /// Number of replicas that are gone, or about to be recorded as gone, and may have held
+    /// an acknowledged commit alone.
+    fn count_unseen_replicas(&self, term: &ServiceTerm) -> usize {
+        let known = self.control.instances.values();
+        let known = known.filter(|record| record.service == term.service).map(|record| &record.key);
+        let holders: BTreeSet<&Arc<str>> = term
+            .lost_holders
+            .iter()
+            .map(|holder| &holder.key)
+            .chain(known)
+            .map(|key| &key.id)
+            .filter(|id| **id != term.primary.id && self.directory.get(id).is_none())
+            .collect();
+        holders.len()
+    }
+
     fn execute_step(&mut self, now: Moment, term: &ServiceTerm, step: TermStep) {
         let (service, number) = (term.service.clone(), term.number);
         match step {
-            TermStep::AskStatus(key) => {
-                if let Some(record) = self.directory.get(&key.id) {
-                    let address = record.address;
-                    self.effects.push(ControlEffect::AskStatus { key, service, address });
-                }
-            }
+            TermStep::AskStatus(key) => self.request_status(service, key),
             TermStep::Choose { chosen, above_term } => {
                 let command =
                     ControlCommand::ServicePrimaryChosen { service, number, chosen, above_term };
@@ -291,8 +316,8 @@
                 let fence = self.agreement.term();
                 self.effects.push(ControlEffect::Promote { service, key, fence });
             }
-            TermStep::Start => {
-                self.propose(now, ControlCommand::ServiceTermStarted { service, number });
+            TermStep::Start { drained } => {
+                self.propose(now, ControlCommand::ServiceTermStarted { service, number, drained });
             }
             TermStep::Restart => {
                 self.propose(
@@ -303,16 +328,29 @@
         }
     }
 
+    pub(super) fn request_status(&mut self, service: Arc<str>, key: InstanceKey) {
+        if let Some(record) = self.directory.get(&key.id) {
+            let address = record.address;
+            self.effects.push(ControlEffect::AskStatus { key, service, address });
+        }
+    }
+
     pub(super) fn handle_status_answer(
         &mut self,
         now: Moment,
         key: InstanceKey,
         status: Option<InstanceStatus>,
     ) {
-        let service = self.directory.get(&key.id).map(|record| record.service.clone());
-        let change =
-            service.and_then(|service| self.leader_state.as_mut()?.changes.get_mut(&service));
-        if let (Some(change), Some(status)) = (change, status) {
+        let Some(service) = self.directory.get(&key.id).map(|record| record.service.clone()) else {
+            return;
+        };
+        let Some(leader_state) = &mut self.leader_state else {
+            return;
+        };
+        if let (Some(probe), Some(status)) = (leader_state.catch_ups.get_mut(&service), status) {
+            probe.record(now, &key, status.received);
+        }
+        if let Some(change) = leader_state.changes.get_mut(&service) {
             change.record_status(key, status);
             self.request_leader_tasks(now);
         }
--- a/crates/decisions/src/control_state/control_command.rs
+++ b/crates/decisions/src/control_state/control_command.rs
@@ -124,6 +124,19 @@
         service: Arc<str>,
         /// Number of the term that ended.
         number: u64,
+        /// The drain period of the chosen database is over: the term starts with a
+        /// planned change, so that no host uses it. Older builds do not send it.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        drained: bool,
+    },
+    /// Enough replicas hold what these lost databases may have held alone.
+    ServiceHoldersReplaced {
+        /// The service.
+        service: Arc<str>,
+        /// Number of the term.
+        number: u64,
+        /// The lost databases.
+        lost: Vec<InstanceKey>,
     },
 }
 
--- a/crates/decisions/src/control_state/replicated_state.rs
+++ b/crates/decisions/src/control_state/replicated_state.rs
@@ -137,9 +137,7 @@
             ControlCommand::RoutesReplaced { table, at_unix_ms } => {
                 self.replace_routes(table, *at_unix_ms);
             }
-            ControlCommand::InstanceSeen(record) => {
-                self.instances.insert(record.key.id.clone(), record.clone());
-            }
+            ControlCommand::InstanceSeen(record) => self.record_instance(record),
             ControlCommand::InstanceGone(departure) => self.remove_instance(departure),
             ControlCommand::HolderJoined(host) => {
                 self.holders.insert(*host);
@@ -156,8 +154,11 @@
             ControlCommand::ServicePrimaryChosen { service, number, chosen, above_term } => {
                 self.choose_service_primary(service, *number, chosen, *above_term);
             }
-            ControlCommand::ServiceTermStarted { service, number } => {
-                self.start_service_term(service, *number);
+            ControlCommand::ServiceTermStarted { service, number, drained } => {
+                self.start_service_term(service, *number, *drained);
+            }
+            ControlCommand::ServiceHoldersReplaced { service, number, lost } => {
+                self.forget_lost_holders(service, *number, lost);
             }
         }
     }
--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -2,9 +2,9 @@
 
 use super::{ControlState, PlannedChange};
 use crate::{
-    instances::{InstanceDeparture, InstanceKey},
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     outcomes::ResultCode,
-    primaries::{ServiceTerm, TermPhase},
+    primaries::{LostHolder, ServiceTerm, TermPhase},
     routes::RouteTable,
 };
 
@@ -33,10 +33,47 @@
         );
     }
 
+    pub(super) fn record_instance(&mut self, record: &InstanceRecord) {
+        self.instances.insert(record.key.id.clone(), record.clone());
+        let Some(term) = self.terms.get_mut(&record.service) else {
+            return;
+        };
+        // It has come back, or has taken over the log of the one that had its address.
+        let took_over = |holder: &LostHolder| {
+            holder.key.id == record.key.id || holder.address == record.address
+        };
+        if term.lost_holders.iter().any(|holder| took_over(holder) && holder.key == term.primary) {
+            term.heir = Some(record.key.clone());
+        }
+        term.lost_holders.retain(|holder| !took_over(holder));
+    }
+
     pub(super) fn remove_instance(&mut self, departure: &InstanceDeparture) {
         let known = self.instances.get(&departure.id).map(|record| record.key.born_ms);
-        if known.is_some_and(|known| departure.born_ms.is_none_or(|born| known <= born)) {
-            self.instances.remove(&departure.id);
+        if known.is_some_and(|known| departure.born_ms.is_none_or(|born| known <= born))
+            && let Some(record) = self.instances.remove(&departure.id)
+        {
+            self.record_lost_holder(record);
+        }
+    }
+
+    /// Records that a database is gone which may have held an acknowledged commit alone.
+    fn record_lost_holder(&mut self, record: InstanceRecord) {
+        let rule = self.routes.as_ref().and_then(|table| table.service(&record.service));
+        let replicated = rule.is_some_and(|rule| rule.sync_replicas > 0);
+        if replicated && let Some(term) = self.terms.get_mut(&record.service) {
+            term.lost_holders.push(LostHolder { key: record.key, address: record.address });
+        }
+    }
+
+    pub(super) fn forget_lost_holders(
+        &mut self,
+        service: &Arc<str>,
+        number: u64,
+        lost: &[InstanceKey],
+    ) {
+        if let Some(term) = self.terms.get_mut(service).filter(|term| term.number == number) {
+            term.lost_holders.retain(|holder| !lost.contains(&holder.key));
         }
     }
 
@@ -53,14 +90,7 @@
             }
             Some(_) => {}
             None => {
-                let term = ServiceTerm {
-                    service: service.clone(),
-                    number: 1,
-                    since_index,
-                    primary: primary.clone(),
-                    phase: TermPhase::Steady,
-                    above_term: 0,
-                };
+                let term = ServiceTerm::new(service.clone(), 1, since_index, primary.clone());
                 self.terms.insert(service.clone(), term);
             }
         }
@@ -102,7 +132,7 @@
         }
     }
 
-    pub(super) fn start_service_term(&mut self, service: &Arc<str>, number: u64) {
+    pub(super) fn start_service_term(&mut self, service: &Arc<str>, number: u64, drained: bool) {
         let since_index = self.applied;
         if let Some(term) = self.terms.get_mut(service)
             && term.number == number
@@ -111,7 +141,13 @@
             term.primary = chosen.clone();
             term.number += 1;
             term.since_index = since_index;
-            term.phase = TermPhase::Steady;
+            term.phase = match drained {
+                true => TermPhase::Fencing { planned: true },
+                false => TermPhase::Steady,
+            };
+            // The new primary holds every acknowledged commit.
+            term.lost_holders.clear();
+            term.heir = None;
         }
     }
 }
--- a/crates/decisions/src/pg_host/control_flow.rs
+++ b/crates/decisions/src/pg_host/control_flow.rs
@@ -119,7 +119,8 @@
             | ControlCommand::ServicePrimaryKnown { .. }
             | ControlCommand::ServiceTermEnded { .. }
             | ControlCommand::ServicePrimaryChosen { .. }
-            | ControlCommand::ServiceTermStarted { .. } => {}
+            | ControlCommand::ServiceTermStarted { .. }
+            | ControlCommand::ServiceHoldersReplaced { .. } => {}
             ControlCommand::LeaderElected => {}
             ControlCommand::PlanMade(plan) => self.answer_plans(plan),
             ControlCommand::HostJoined(HostRecord { id, .. }) | ControlCommand::HostLeft(id) => {
--- /dev/null
+++ b/crates/decisions/src/primaries/log_reports.rs
@@ -0,0 +1,90 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{InstanceStatus, ServiceTerm, SuccessionRules};
+use crate::{
+    instances::{InstanceKey, InstanceRecord},
+    positions::LogPosition,
+};
+
+/// What databases reported of their logs since the old primary was fenced, and which
+/// log holds every acknowledged commit.
+#[derive(Debug, Default)]
+pub(super) struct LogReports {
+    statuses: BTreeMap<InstanceKey, InstanceStatus>,
+    /// Databases that did not answer the last request.
+    silent: BTreeSet<InstanceKey>,
+}
+
+impl LogReports {
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records the answer to a status request, `None` if there was none in time.
+    pub(super) fn record(&mut self, key: InstanceKey, status: Option<InstanceStatus>) {
+        match status {
+            Some(status) => {
+                self.silent.remove(&key);
+                self.statuses.insert(key, status);
+            }
+            None => {
+                self.silent.insert(key);
+            }
+        }
+    }
+
+    pub(super) fn get(&self, key: &InstanceKey) -> Option<InstanceStatus> {
+        self.statuses.get(key).copied()
+    }
+
+    /// True if the database did not answer the last request.
+    pub(super) fn is_silent(&self, key: &InstanceKey) -> bool {
+        self.silent.contains(key)
+    }
+
+    /// Highest term that any database counts, 0 without an answer.
+    pub(super) fn highest_term(&self) -> u64 {
+        self.statuses.values().map(|status| status.term).max().unwrap_or(0)
+    }
+
+    /// Position of the old primary's log: its own answer, that of the database which took
+    /// over its log, or its own after a restart with a log.
+    pub(super) fn primary_position(&self, term: &ServiceTerm) -> Option<LogPosition> {
+        let restarted = || {
+            let own = self.statuses.iter().filter(|(key, _)| key.id == term.primary.id);
+            own.map(|(_, status)| *status)
+                .filter(|status| status.received > LogPosition::default())
+                .max_by_key(|status| status.received)
+        };
+        let heir = || term.heir.as_ref().and_then(|heir| self.get(heir));
+        let status = self.get(&term.primary).or_else(heir).or_else(restarted);
+        status.map(|status| status.received)
+    }
+
+    /// Position that a log must have reached to hold every acknowledged commit; `None` if
+    /// too few databases answered.
+    ///
+    /// The fenced primary holds all commits. So does one of the replicas, if fewer than
+    /// `sync_replicas` of them did not answer. Replicas that may not be promoted count
+    /// as well: a draining replica acknowledges commits until it ends.
+    pub(super) fn required_position(
+        &self,
+        term: &ServiceTerm,
+        replicas: &[&InstanceRecord],
+        rules: SuccessionRules,
+    ) -> Option<LogPosition> {
+        let of_primary = self.primary_position(term);
+        let answers: Vec<LogPosition> = replicas
+            .iter()
+            .filter_map(|record| self.get(&record.key))
+            .map(|status| status.received)
+            .collect();
+        let missing = replicas.len() - answers.len() + rules.unseen_replicas;
+        let of_replicas =
+            answers.into_iter().max().filter(|_| missing < rules.sync_replicas as usize);
+        match (of_primary, of_replicas) {
+            (Some(primary), Some(replica)) => Some(primary.min(replica)),
+            (primary, replica) => primary.or(replica),
+        }
+    }
+}
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,16 @@
     },
 }
 
+/// A database of a service that is gone, and that may have held an acknowledged commit
+/// which no remaining replica has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostHolder {
+    /// The database.
+    pub key: InstanceKey,
+    /// Its address. A database that starts there for the same service has its log.
+    pub address: SocketAddr,
+}
+
 /// Committed primary of a service. The control hosts count its terms
 /// themselves, independently of the terms that databases count.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,9 +50,30 @@
     /// this, as databases count them. 0 if that is not known.
     #[serde(default)]
     pub above_term: u64,
+    /// Databases that were lost during this term, where commits are acknowledged once
+    /// replicas have them; older builds do not keep them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lost_holders: Vec<LostHolder>,
+    /// The database that took over the log of the primary, which is gone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heir: Option<InstanceKey>,
 }
 
 impl ServiceTerm {
+    /// A steady term that begins at this index of the control log.
+    pub fn new(service: Arc<str>, number: u64, since_index: u64, primary: InstanceKey) -> Self {
+        Self {
+            service,
+            number,
+            since_index,
+            primary,
+            phase: TermPhase::Steady,
+            above_term: 0,
+            lost_holders: Vec::new(),
+            heir: None,
+        }
+    }
+
     /// True if requests may be sent to the primary.
     pub fn is_steady(&self) -> bool {
         self.phase == TermPhase::Steady
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use super::{ServiceTerm, TermPhase};
+use super::{ServiceTerm, TermPhase, log_reports::LogReports};
 use crate::{
     clock::Moment,
     identity::HostId,
@@ -17,6 +17,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two status requests to one database.
 const STATUS_RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// The same once a change takes long: each request opens a connection.
+const LATE_STATUS_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a planned change for a replica to receive all that the old
 /// primary has.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -39,15 +41,20 @@
     pub received: LogPosition,
 }
 
-/// Order in which databases that answered are preferred.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CandidateOrder {
-    /// A replica that does not drain, then the longest log.
-    StayingFirst,
-    /// The replica with the longest log.
-    LongestReplica,
-    /// The longest log, be it the old primary's.
-    LongestLog,
+/// Preference among databases that hold every acknowledged commit, least first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum CandidateRank {
+    /// A replica whose drain period is over. It leads without being used, so that
+    /// another database can receive its log.
+    DrainedReplica,
+    /// The old primary, after a failure.
+    FailedPrimary,
+    /// A draining replica; its own drain would be the next change.
+    DrainingReplica,
+    /// The old primary, in a planned change.
+    ServingPrimary,
+    /// A replica that does not drain.
+    StayingReplica,
 }
 
 /// Next step of the leader in a change of primary.
@@ -65,7 +72,11 @@
     /// Ask the platform to promote this database.
     Promote(InstanceKey),
     /// Commit the start of the successor's term.
-    Start,
+    Start {
+        /// The successor must not be used, as its drain period is over: a planned change
+        /// follows at once.
+        drained: bool,
+    },
     /// Select another successor: this one is not running or did not become
     /// primary in time.
     Restart,
@@ -79,7 +90,7 @@
     fenced_at: Option<Moment>,
     /// Time since which, after the fencing, there has been a candidate.
     candidates_since: Option<Moment>,
-    statuses: BTreeMap<InstanceKey, InstanceStatus>,
+    reports: LogReports,
     asked_at: BTreeMap<InstanceKey, Moment>,
     promoted_at: Option<Moment>,
     excluded: BTreeSet<InstanceKey>,
@@ -102,6 +113,8 @@
 pub struct SuccessionRules {
     /// Number of replicas that hold each acknowledged commit.
     pub sync_replicas: u32,
+    /// Replicas that are gone and may have held an acknowledged commit alone.
+    pub unseen_replicas: usize,
     /// Time after which a draining database is no longer chosen; `None` for no limit.
     pub drain_limit: Option<Duration>,
 }
@@ -114,7 +127,7 @@
             started_at: now,
             fenced_at: None,
             candidates_since: None,
-            statuses: BTreeMap::new(),
+            reports: LogReports::default(),
             asked_at: BTreeMap::new(),
             promoted_at: None,
             excluded: BTreeSet::new(),
@@ -133,9 +146,9 @@
         Self { excluded: self.excluded.clone(), ..Self::new(now, term) }
     }
 
-    /// Records the answer to a status request.
-    pub fn record_status(&mut self, key: InstanceKey, status: InstanceStatus) {
-        self.statuses.insert(key, status);
+    /// Records the answer to a status request, `None` if there was none in time.
+    pub fn record_status(&mut self, key: InstanceKey, status: Option<InstanceStatus>) {
+        self.reports.record(key, status);
     }
 
     /// Excludes a database that the platform reports as not running.
@@ -166,10 +179,13 @@
                 if !self.check_fenced(now, view) {
                     return Vec::new();
                 }
-                self.select_successor(now, term, directory, *planned, rules)
+                match rules.sync_replicas {
+                    0 => self.select_successor(now, term, directory, *planned, rules),
+                    _ => self.select_complete_successor(now, term, directory, *planned, rules),
+                }
             }
             TermPhase::Promoting { chosen } => {
-                self.plan_promotion(now, chosen, term.above_term, directory)
+                self.plan_promotion(now, chosen, term.above_term, directory, rules)
             }
         }
     }
@@ -186,11 +202,13 @@
         });
         if fenced {
             self.fenced_at = Some(now);
-            self.statuses.clear();
+            self.reports.clear();
         }
         fenced
     }
 
+    /// Selects a successor where a commit is acknowledged before any replica has it: the
+    /// longest log that can be had soon.
     fn select_successor(
         &mut self,
         now: Moment,
@@ -199,101 +217,134 @@
         planned: bool,
         rules: SuccessionRules,
     ) -> Vec<TermStep> {
-        // After a failure the old primary may have recovered; in a planned change it
-        // still serves if no successor answers.
-        let old_primary_exclusion = match planned {
-            true => CATCH_UP_TIMEOUT,
-            false => OLD_PRIMARY_EXCLUSION,
-        };
-        let old_primary_allowed = now.since(self.fenced_at.unwrap_or(now)) >= old_primary_exclusion;
-        let is_candidate = |record: &InstanceRecord| {
-            let is_replica = record.key.id != term.primary.id;
-            // A drained replica may be the only one with an acknowledged commit.
-            let needed = is_replica && !planned && rules.sync_replicas > 0;
-            (is_replica || old_primary_allowed)
-                && (needed || !directory.has_drained(now, &record.key, rules.drain_limit))
-        };
+        let old_primary_allowed = self.is_old_primary_allowed(now, planned);
         let candidates: Vec<&InstanceRecord> = directory
             .instances_of_service(&term.service)
-            .filter(|record| is_candidate(record))
+            .filter(|record| record.key.id != term.primary.id || old_primary_allowed)
+            .filter(|record| !directory.has_drained(now, &record.key, rules.drain_limit))
             .collect();
         if candidates.is_empty() {
             self.candidates_since = None;
             return Vec::new();
         }
         let waited = now.since(*self.candidates_since.get_or_insert(now));
-        let order = self.candidate_order(term, &candidates, rules.sync_replicas);
-        let best = order.and_then(|order| self.best_candidate(term, &candidates, order));
+        let best = self.longest_log(term, &candidates);
         let awaits_catch_up =
             planned && waited < CATCH_UP_TIMEOUT && directory.get_by_key(&term.primary).is_some();
-        let old_status = self.statuses.get(&term.primary);
+        let old_status = self.reports.get(&term.primary);
         let all_answered = candidates.iter().all(|record| self.has_answered(&record.key));
         let ready = match (awaits_catch_up, old_status, &best) {
             (true, Some(old), Some((_, status))) => status.received >= old.received,
             (true, ..) => false,
-            (false, ..) => rules.sync_replicas > 0 || all_answered || waited >= STATUS_TIMEOUT,
+            (false, ..) => all_answered || waited >= STATUS_TIMEOUT,
         };
         if ready && let Some((chosen, status)) = best {
-            self.proposed = true;
-            let above_term = self.term_to_exceed(term, status);
-            return vec![TermStep::Choose { chosen, above_term }];
+            return self.choose(term, chosen, status);
         }
         let old_primary = planned.then(|| term.primary.clone());
-        let keys: Vec<InstanceKey> =
-            candidates.iter().map(|r| r.key.clone()).chain(old_primary).collect();
-        keys.into_iter().filter_map(|key| self.request_status(now, key)).collect()
+        let keys = candidates.iter().map(|record| record.key.clone()).chain(old_primary).collect();
+        self.request_statuses(now, keys)
     }
 
-    fn has_answered(&self, key: &InstanceKey) -> bool {
-        self.statuses.contains_key(key) && !self.excluded.contains(key)
+    /// Selects a successor that holds every acknowledged commit, where these are on
+    /// replicas, and waits as long as none is known to.
+    fn select_complete_successor(
+        &mut self,
+        now: Moment,
+        term: &ServiceTerm,
+        directory: &InstanceDirectory,
+        planned: bool,
+        rules: SuccessionRules,
+    ) -> Vec<TermStep> {
+        let records: Vec<&InstanceRecord> = directory.instances_of_service(&term.service).collect();
+        let replicas: Vec<&InstanceRecord> =
+            records.iter().copied().filter(|record| record.key.id != term.primary.id).collect();
+        let lowest_rank = self.lowest_rank(now, term, directory, planned);
+        let required = match lowest_rank {
+            // Commits that are not acknowledged yet are kept, too.
+            CandidateRank::StayingReplica => self.reports.primary_position(term),
+            _ => self.reports.required_position(term, &replicas, rules),
+        };
+        let old_primary_allowed = self.is_old_primary_allowed(now, planned);
+        let best = records
+            .iter()
+            .filter(|record| self.has_answered(&record.key) && !self.reports.is_silent(&record.key))
+            .filter(|record| record.key.id != term.primary.id || old_primary_allowed)
+            .filter_map(|record| Some((*record, self.reports.get(&record.key)?)))
+            .filter(|(record, status)| {
+                record.key == term.primary || required.is_some_and(|held| status.received >= held)
+            })
+            .filter_map(|(record, status)| {
+                let drained = directory.has_drained(now, &record.key, rules.drain_limit);
+                Some((candidate_rank(term, record, planned, drained)?, record, status))
+            })
+            .filter(|(rank, ..)| *rank >= lowest_rank)
+            .max_by_key(|(rank, _, status)| (*rank, status.received));
+        if let Some((_, record, status)) = best {
+            return self.choose(term, record.key.clone(), status);
+        }
+        let keys = replicas.iter().map(|record| record.key.clone());
+        self.request_statuses(now, keys.chain([term.primary.clone()]).collect())
     }
 
-    /// How to choose among the databases that answered; `None` if all of them may
-    /// lack an acknowledged commit.
-    fn candidate_order(
+    /// The lowest rank that may be chosen now.
+    fn lowest_rank(
         &self,
+        now: Moment,
         term: &ServiceTerm,
-        candidates: &[&InstanceRecord],
-        sync_replicas: u32,
-    ) -> Option<CandidateOrder> {
-        if sync_replicas == 0 {
-            return Some(CandidateOrder::StayingFirst);
-        }
-        // An acknowledged commit is on at least `sync_replicas` replicas, so that one
-        // of those that answered has it if fewer did not answer.
-        let is_old_primary = |record: &InstanceRecord| record.key.id == term.primary.id;
-        let missing = candidates
-            .iter()
-            .filter(|record| !is_old_primary(record) && !self.has_answered(&record.key))
-            .count();
-        if missing < sync_replicas as usize {
-            return Some(CandidateOrder::LongestReplica);
+        directory: &InstanceDirectory,
+        planned: bool,
+    ) -> CandidateRank {
+        let waits_over = self.is_old_primary_allowed(now, planned);
+        let serves =
+            directory.get_by_key(&term.primary).is_some() && !self.reports.is_silent(&term.primary);
+        match (planned, waits_over) {
+            // Other databases receive the rest of its log meanwhile.
+            (true, false) if serves => CandidateRank::StayingReplica,
+            (true, _) if serves => CandidateRank::DrainingReplica,
+            _ => CandidateRank::DrainedReplica,
         }
-        let old_answered = candidates
-            .iter()
-            .any(|record| is_old_primary(record) && self.has_answered(&record.key));
-        old_answered.then_some(CandidateOrder::LongestLog)
     }
 
-    /// Returns the preferred candidate among those that answered.
-    fn best_candidate(
+    /// After a failure the old primary may have recovered; in a planned change it still
+    /// serves if no successor can be had.
+    fn is_old_primary_allowed(&self, now: Moment, planned: bool) -> bool {
+        let exclusion = match planned {
+            true => CATCH_UP_TIMEOUT,
+            false => OLD_PRIMARY_EXCLUSION,
+        };
+        now.since(self.fenced_at.unwrap_or(now)) >= exclusion
+    }
+
+    fn choose(
+        &mut self,
+        term: &ServiceTerm,
+        chosen: InstanceKey,
+        status: InstanceStatus,
+    ) -> Vec<TermStep> {
+        self.proposed = true;
+        let above_term = self.term_to_exceed(term, status);
+        vec![TermStep::Choose { chosen, above_term }]
+    }
+
+    fn has_answered(&self, key: &InstanceKey) -> bool {
+        self.reports.get(key).is_some() && !self.excluded.contains(key)
+    }
+
+    /// The candidate with the longest log among those that answered, replicas that do not
+    /// drain first and the old primary last.
+    fn longest_log(
         &self,
         term: &ServiceTerm,
         candidates: &[&InstanceRecord],
-        order: CandidateOrder,
     ) -> Option<(InstanceKey, InstanceStatus)> {
         candidates
             .iter()
             .filter(|record| self.has_answered(&record.key))
-            .filter_map(|record| Some((*record, *self.statuses.get(&record.key)?)))
+            .filter_map(|record| Some((*record, self.reports.get(&record.key)?)))
             .max_by_key(|(record, status)| {
                 let is_replica = record.key.id != term.primary.id;
-                let (first, stays) = match order {
-                    CandidateOrder::StayingFirst => (is_replica, !record.draining),
-                    CandidateOrder::LongestReplica => (is_replica, true),
-                    CandidateOrder::LongestLog => (true, true),
-                };
-                (first, stays, status.received, !record.draining, is_replica)
+                (is_replica, !record.draining, status.received)
             })
             .map(|(record, status)| (record.key.clone(), status))
     }
@@ -303,21 +354,27 @@
     /// already leads the highest term keeps it: the present primary, or the one that
     /// took over its log and address.
     fn term_to_exceed(&self, term: &ServiceTerm, status: InstanceStatus) -> u64 {
-        let counted = self.statuses.values().map(|status| status.term).max().unwrap_or(0);
-        let highest = counted.max(term.above_term);
+        let highest = self.reports.highest_term().max(term.above_term);
         let leads_already = status.role == InstanceRole::Primary
             && status.term == highest
             && status.term > term.above_term;
         if leads_already { highest - 1 } else { highest }
     }
 
-    fn request_status(&mut self, now: Moment, key: InstanceKey) -> Option<TermStep> {
-        let asked_at = self.asked_at.get(&key);
-        if asked_at.is_some_and(|at| now.since(*at) < STATUS_RETRY_INTERVAL) {
-            return None;
+    /// Requests the status of those databases that were not asked lately.
+    fn request_statuses(&mut self, now: Moment, keys: Vec<InstanceKey>) -> Vec<TermStep> {
+        let interval = match now.since(self.fenced_at.unwrap_or(now)) < CATCH_UP_TIMEOUT {
+            true => STATUS_RETRY_INTERVAL,
+            false => LATE_STATUS_RETRY_INTERVAL,
+        };
+        let mut steps = Vec::new();
+        for key in keys {
+            if self.asked_at.get(&key).is_none_or(|at| now.since(*at) >= interval) {
+                self.asked_at.insert(key.clone(), now);
+                steps.push(TermStep::AskStatus(key));
+            }
         }
-        self.asked_at.insert(key.clone(), now);
-        Some(TermStep::AskStatus(key))
+        steps
     }
 
     fn plan_promotion(
@@ -326,14 +383,16 @@
         chosen: &InstanceKey,
         above_term: u64,
         directory: &InstanceDirectory,
+        rules: SuccessionRules,
     ) -> Vec<TermStep> {
         let leads = self
-            .statuses
+            .reports
             .get(chosen)
             .is_some_and(|status| status.role == InstanceRole::Primary && status.term > above_term);
         if leads {
             self.proposed = true;
-            return vec![TermStep::Start];
+            let drained = directory.has_drained(now, chosen, rules.drain_limit);
+            return vec![TermStep::Start { drained }];
         }
         let timed_out = now.since(self.started_at) >= PROMOTION_TIMEOUT;
         if timed_out || self.excluded.contains(chosen) {
@@ -360,3 +419,23 @@
         steps
     }
 }
+
+/// Preference for a database that holds every acknowledged commit; `None` if it must not
+/// be chosen.
+fn candidate_rank(
+    term: &ServiceTerm,
+    record: &InstanceRecord,
+    planned: bool,
+    drained: bool,
+) -> Option<CandidateRank> {
+    let is_old_primary = record.key.id == term.primary.id;
+    match (is_old_primary, drained) {
+        // It leads as it is: others receive its log without a promotion.
+        (true, true) => None,
+        (true, false) if planned => Some(CandidateRank::ServingPrimary),
+        (true, false) => Some(CandidateRank::FailedPrimary),
+        (false, true) => Some(CandidateRank::DrainedReplica),
+        (false, false) if record.draining => Some(CandidateRank::DrainingReplica),
+        (false, false) => Some(CandidateRank::StayingReplica),
+    }
+}
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -83,6 +83,10 @@
     pub instances: BTreeMap<Arc<str>, InstanceRecord>,
     /// Terms that databases lead or follow, 1 unless listed.
     pub database_terms: BTreeMap<Arc<str>, u64>,
+    /// Ends of the databases' logs, entry 1 of term 1 unless listed.
+    pub log_ends: BTreeMap<Arc<str>, LogPosition>,
+    /// `sync_replicas` of the service in configurations given from now on.
+    pub sync_replicas: u32,
     /// Time from the call to the moment at which a database leads.
     pub promotion_time: Duration,
     /// Lease of entry hosts, as set at the next start of a control host.
@@ -110,6 +114,8 @@
             promoted: Vec::new(),
             instances: BTreeMap::new(),
             database_terms: BTreeMap::new(),
+            log_ends: BTreeMap::new(),
+            sync_replicas: 0,
             promotion_time: Duration::ZERO,
             lease_duration: Duration::from_millis(3_500),
             seeds: seeds.clone(),
@@ -229,7 +235,9 @@
         let end = self.now + timeout;
         while self.now < end {
             if let Some(leader) = self.leader() {
-                let table = Arc::new(table(version));
+                let mut table = table(version);
+                table.services[0].sync_replicas = self.sync_replicas;
+                let table = Arc::new(table);
                 let ticket =
                     self.order(leader, OperatorOrder::ReplaceRoutes { table, at_unix_ms: 0 });
                 self.run(Duration::from_millis(100));
@@ -445,7 +453,7 @@
                 let status = self.instances.get(&key.id).map(|record| InstanceStatus {
                     role: record.role,
                     term: self.database_terms.get(&key.id).copied().unwrap_or(1),
-                    received: LogPosition::new(1, 1),
+                    received: self.log_ends.get(&key.id).copied().unwrap_or(LogPosition::new(1, 1)),
                 });
                 let boot = self.hosts[&id].boot;
                 let event = ControlEvent::StatusAnswered(key, status);
--- a/crates/decisions/tests/cut_off_hosts.rs
+++ b/crates/decisions/tests/cut_off_hosts.rs
@@ -10,7 +10,7 @@
     clock::Moment,
     entry_role::{EntryView, PrimaryAvailability},
     instances::InstanceRole,
-    primaries::{ServiceTerm, TermPhase},
+    primaries::ServiceTerm,
 };
 use instance_records::{SERVICE, record};
 
@@ -22,14 +22,7 @@
     let mut view = EntryView::new(Arc::from("a"));
     let record = record("p", InstanceRole::Primary, 1);
     view.record_announcements(Moment::ZERO, std::slice::from_ref(&record));
-    let term = ServiceTerm {
-        service: Arc::from(SERVICE),
-        number: 1,
-        since_index: 1,
-        primary: record.key,
-        phase: TermPhase::Steady,
-        above_term: 0,
-    };
+    let term = ServiceTerm::new(Arc::from(SERVICE), 1, 1, record.key);
     view.apply_state(1, 0, None, vec![term]);
     view.record_control_message(LAST_CONTACT);
     view.extend_lease(LAST_CONTACT, LEASE, 1, 300);
--- a/crates/decisions/tests/planned_changes.rs
+++ b/crates/decisions/tests/planned_changes.rs
@@ -13,14 +13,7 @@
 
 fn term(service: &str, phase: TermPhase) -> ServiceTerm {
     let primary = InstanceKey { id: Arc::from("a"), born_ms: 1 };
-    ServiceTerm {
-        service: Arc::from(service),
-        number: 3,
-        since_index: 5,
-        primary,
-        phase,
-        above_term: 0,
-    }
+    ServiceTerm { phase, ..ServiceTerm::new(Arc::from(service), 3, 5, primary) }
 }
 
 /// A state that arrives while writes of an ending term are open must not confirm the end of
--- a/crates/decisions/tests/read_targets.rs
+++ b/crates/decisions/tests/read_targets.rs
@@ -13,7 +13,7 @@
     identity::HostId,
     instances::{InstanceKey, InstanceRole},
     positions::LogPosition,
-    primaries::{ServiceTerm, TermPhase},
+    primaries::ServiceTerm,
     routes::{RouteKind, RouteRule},
 };
 use instance_records::{SERVICE, record};
@@ -38,14 +38,7 @@
     let mut view = EntryView::new(Arc::from("a"));
     let records = [record("p", InstanceRole::Primary, 1), record("r", InstanceRole::Replica, 2)];
     view.record_announcements(Moment::from_millis(500), &records);
-    let term = ServiceTerm {
-        service: Arc::from(SERVICE),
-        number: 1,
-        since_index: 1,
-        primary: records[0].key.clone(),
-        phase: TermPhase::Steady,
-        above_term: 0,
-    };
+    let term = ServiceTerm::new(Arc::from(SERVICE), 1, 1, records[0].key.clone());
     view.apply_state(1, 0, None, vec![term]);
     view.extend_lease(Moment::from_millis(500), Duration::from_millis(9_500), 1, 1);
     let mut at = Moment::from_millis(1_000);
--- a/crates/decisions/tests/successor_choice.rs
+++ b/crates/decisions/tests/successor_choice.rs
@@ -20,19 +20,33 @@
 use instance_records::record;
 
 const START: Moment = Moment::from_millis(10_000);
-const RULES: SuccessionRules =
-    SuccessionRules { sync_replicas: 1, drain_limit: Some(Duration::from_secs(6)) };
+const RULES: SuccessionRules = SuccessionRules {
+    sync_replicas: 1,
+    unseen_replicas: 0,
+    drain_limit: Some(Duration::from_secs(6)),
+};
 
 /// A primary `a` with the replicas `b` and `c`, and the state of a change after `a` failed.
 struct Failover {
     directory: InstanceDirectory,
     term: ServiceTerm,
     change: TermChange,
+    rules: SuccessionRules,
 }
 
 impl Failover {
     fn new() -> Self {
+        Self::with_plan(false)
+    }
+
+    /// The same in a planned change.
+    fn planned() -> Self {
+        Self::with_plan(true)
+    }
+
+    fn with_plan(planned: bool) -> Self {
         let mut directory = InstanceDirectory::default();
+        let primary = record("a", InstanceRole::Primary, 1);
         for (id, port, role) in [
             ("a", 1, InstanceRole::Primary),
             ("b", 2, InstanceRole::Replica),
@@ -41,15 +55,11 @@
             directory.record_announcement(START, &record(id, role, port));
         }
         let term = ServiceTerm {
-            service: Arc::from("books"),
-            number: 1,
-            since_index: 5,
-            primary: record("a", InstanceRole::Primary, 1).key,
-            phase: TermPhase::Fencing { planned: false },
-            above_term: 0,
+            phase: TermPhase::Fencing { planned },
+            ..ServiceTerm::new(Arc::from("books"), 1, 5, primary.key)
         };
         let change = TermChange::new(START, &term);
-        Self { directory, term, change }
+        Self { directory, term, change, rules: RULES }
     }
 
     fn steps_after(&mut self, time: Duration) -> Vec<TermStep> {
@@ -57,13 +67,13 @@
         let leases = LeaseTable::new(START, Duration::ZERO);
         let view =
             HolderView { holders: &BTreeSet::new(), leases: &leases, applied: &BTreeMap::new() };
-        self.change.next_steps(now, &self.term, &self.directory, view, RULES)
+        self.change.next_steps(now, &self.term, &self.directory, view, self.rules)
     }
 
     fn answer(&mut self, id: &str, offset: u64) {
         let received = LogPosition::new(1, offset);
         let status = InstanceStatus { role: InstanceRole::Replica, term: 1, received };
-        self.change.record_status(InstanceKey { id: Arc::from(id), born_ms: 1 }, status);
+        self.change.record_status(InstanceKey { id: Arc::from(id), born_ms: 1 }, Some(status));
     }
 }
 
@@ -116,3 +126,78 @@
     failover.answer("c", 9);
     assert_eq!(chosen(&failover.steps_after(Duration::from_millis(8_600))), Some("c"));
 }
+
+impl Failover {
+    /// Announces a database as draining at the start, right after it did not drain.
+    fn drain(&mut self, id: &str, port: u16, role: InstanceRole) {
+        let draining = InstanceRecord { draining: true, sequence: 2, ..record(id, role, port) };
+        self.directory.record_announcement(START, &draining);
+    }
+}
+
+/// A replica that fell behind must not replace a draining primary while a drained replica, which
+/// may not be promoted itself, has a later commit.
+#[test]
+fn planned_change_waits_for_the_log_of_a_drained_replica() {
+    let mut change = Failover::planned();
+    change.drain("a", 1, InstanceRole::Primary);
+    change.drain("b", 2, InstanceRole::Replica);
+    let mut time = Duration::from_secs(7);
+    change.steps_after(time);
+    for id in ["a", "b"] {
+        change.answer(id, 9);
+    }
+    change.answer("c", 7);
+    for _ in 0..100 {
+        assert_eq!(chosen(&change.steps_after(time)), None, "after {time:?}");
+        time += Duration::from_millis(100);
+    }
+    change.answer("c", 9);
+    assert_eq!(chosen(&change.steps_after(time)), Some("c"));
+}
+
+/// While no replica has caught up, a draining primary must go on within its drain period
+/// instead of leaving the service without a primary.
+#[test]
+fn draining_primary_goes_on_while_no_replica_has_its_log() {
+    let mut change = Failover::planned();
+    change.drain("a", 1, InstanceRole::Primary);
+    change.drain("b", 2, InstanceRole::Replica);
+    change.steps_after(Duration::ZERO);
+    for id in ["a", "b"] {
+        change.answer(id, 9);
+    }
+    change.answer("c", 7);
+    assert_eq!(chosen(&change.steps_after(Duration::from_millis(1_400))), None);
+    assert_eq!(chosen(&change.steps_after(Duration::from_millis(1_500))), Some("a"));
+}
+
+/// A replica that has left may have held the last commit: the others must not be taken for all.
+#[test]
+fn replica_that_left_counts_as_missing() {
+    let mut failover = Failover::new();
+    failover.rules.unseen_replicas = 1;
+    failover.steps_after(Duration::ZERO);
+    for id in ["b", "c"] {
+        failover.answer(id, 7);
+    }
+    assert_eq!(chosen(&failover.steps_after(Duration::from_millis(900))), None);
+    failover.answer("a", 9);
+    assert_eq!(chosen(&failover.steps_after(Duration::from_millis(1_100))), Some("a"));
+}
+
+/// A drained replica that must be promoted for its log must not be used: its term starts with a
+/// planned change.
+#[test]
+fn term_of_a_drained_replica_starts_with_a_change() {
+    let mut failover = Failover::new();
+    failover.drain("c", 3, InstanceRole::Replica);
+    failover.term.phase =
+        TermPhase::Promoting { chosen: InstanceKey { id: Arc::from("c"), born_ms: 1 } };
+    let key = InstanceKey { id: Arc::from("c"), born_ms: 1 };
+    let received = LogPosition::new(1, 9);
+    let leads = InstanceStatus { role: InstanceRole::Primary, term: 2, received };
+    failover.change.record_status(key, Some(leads));
+    let steps = failover.steps_after(Duration::from_secs(8));
+    assert_eq!(steps, [TermStep::Start { drained: true }]);
+}
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -229,6 +229,10 @@
             "service": "books", "number": 5, "chosen": instance_key(), "above_term": 4
         } }),
         json!({ "ServiceTermStarted": { "service": "books", "number": 5 } }),
+        json!({ "ServiceTermStarted": { "service": "books", "number": 5, "drained": true } }),
+        json!({ "ServiceHoldersReplaced": {
+            "service": "books", "number": 5, "lost": [instance_key()]
+        } }),
     ]
 }
 
@@ -491,6 +495,16 @@
     assert!(matches!(command, ControlCommand::ServicePrimaryChosen { above_term: 0, .. }));
 }
 
+/// Databases that were lost in a term must not be forgotten by a restart of control.
+#[test]
+fn lost_databases_keep_form() {
+    let mut term = service_term(json!("Steady"));
+    let lost = json!({ "key": instance_key(), "address": "10.0.0.1:5432" });
+    term["lost_holders"] = json!([lost]);
+    term["heir"] = instance_key();
+    insta::assert_snapshot!("lost_databases", hex(&encoded::<ServiceTerm>(&term)));
+}
+
 #[test]
 fn databases() {
     let status = json!({
