Ignore entries of other writers that name no database

Operators of similar systems met one odd entry among those of the databases that ended its readers or stopped them following the list. Tried here with 29 odd entries to every control host and by reading each path from an announcement to its readers.

No entry ended a process, but a start in the future at the address of a database displaced it for as long as the entry was known, the same in a departure removed it for good, and a service that is not configured took a database from its own. Port 0 and names with line ends were accepted. A name that the status page cannot show hid the whole page.

Cause: an announcement was checked for its types only, although what it says decides who owns an address and which start is the newest.

Databases that lost their address leave the replicated state.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -53,7 +53,7 @@
 enum ServiceEvent {
     Order(OperatorOrder, oneshot::Sender<OrderAnswer>),
     Control(ControlEvent),
-    Status(oneshot::Sender<Option<StatusResponse>>),
+    Status(oneshot::Sender<StatusResponse>),
     Audit(oneshot::Sender<Vec<AuditRecord>>),
 }
 
@@ -81,12 +81,12 @@
         self.connected.get()
     }
 
-    /// The state of the system as this host knows it; `None` if a name in it is
-    /// not valid on a status page, or if the host has stopped.
+    /// The state of the system as this host knows it; `None` if the host has
+    /// stopped.
     pub async fn status(&self) -> Option<StatusResponse> {
         let (reply, page) = oneshot::channel();
         self.events.send(ServiceEvent::Status(reply)).ok()?;
-        page.await.ok()?
+        page.await.ok()
     }
 
     /// The audit trail as applied on this host; `None` if the host has stopped.
@@ -233,18 +233,9 @@
         }
     }
 
-    fn status(&self) -> Option<StatusResponse> {
+    fn status(&self) -> StatusResponse {
         let (own_id, port) = (self.options.settings.host, self.options.link_port);
-        match build_status_page(&self.host, own_id, port, self.connected.get(), self.clock.now()) {
-            Ok(page) => Some(page),
-            Err(error) => {
-                tracing::warn!(
-                    target: "control", %error,
-                    "name not valid on a status page; status request refused"
-                );
-                None
-            }
-        }
+        build_status_page(&self.host, own_id, port, self.connected.get(), self.clock.now())
     }
 
     fn handle_link_event(&mut self, event: LinkEvent) {
@@ -406,6 +397,12 @@
                 "primary is draining and no other database can replace it"
             );
         }
+        ControlLogEvent::AnnouncementIgnored(key) => {
+            tracing::warn!(
+                target: "control", instance = %key,
+                "announcement of a service that is not configured names another's database; ignored"
+            );
+        }
         ControlLogEvent::CapChanged(CapChange { workspace, capped: true }) => {
             tracing::info!(target: "control", %workspace, "workspace reached its cap");
         }
--- a/crates/daemon/src/control_role/status_page.rs
+++ b/crates/daemon/src/control_role/status_page.rs
@@ -16,26 +16,26 @@
 /// the hosts are the voters and the entry hosts. `has_lease` is true while this
 /// host is connected, that is, a current leader or a follower of a leader.
 ///
-/// # Errors
-/// `NameError` if the name of a service, database or data centre is not valid on
-/// a status page.
+/// Services and databases whose names are not valid on a status page are left out: anybody
+/// may announce a database.
 pub(super) fn build_status_page(
     control_host: &ControlHost,
     own_id: HostId,
     link_port: u16,
     is_connected: bool,
     now: Moment,
-) -> Result<StatusResponse, NameError> {
+) -> StatusResponse {
     let (control, agreement) = (control_host.control(), control_host.agreement());
-    let unknown = DataCentre::new("unknown")?;
+    let unknown = DataCentre::unknown();
     let hosts = agreement.voters().union(&control.holders).map(|host| HostStatus {
         host: *host,
         peer_address: host_address(*host, link_port),
         data_centre: unknown.clone(),
         draining: false,
     });
-    let groups = control.terms.values().map(|term| build_group_status(control_host, term));
-    Ok(StatusResponse {
+    let terms = control.terms.values();
+    let groups = terms.filter_map(|term| build_group_status(control_host, term).ok());
+    StatusResponse {
         host: own_id,
         leader: agreement.leader(),
         is_current_leader: control_host.is_current_leader(now),
@@ -43,10 +43,10 @@
         version: control.routes_version(),
         applied: control.applied,
         services: Vec::new(),
-        groups: groups.collect::<Result<_, _>>()?,
+        groups: groups.collect(),
         hosts: hosts.collect(),
         workspaces: control.routes.as_deref().map_or_else(Vec::new, list_workspaces),
-    })
+    }
 }
 
 fn list_workspaces(table: &RouteTable) -> Vec<WorkspaceStatus> {
@@ -68,15 +68,17 @@
         TermPhase::Fencing { .. } => "fencing",
         TermPhase::Promoting { .. } => "promoting",
     };
-    let members =
-        control_host.directory().instances_of_service(&term.service).map(build_member_status);
+    let members = control_host
+        .directory()
+        .instances_of_service(&term.service)
+        .filter_map(|record| build_member_status(record).ok());
     Ok(GroupStatus {
         group: GroupName::new(&term.service)?,
         term: term.number,
         primary: DatabaseName::new(&term.primary.id)?,
         phase: phase.to_owned(),
         homes: Vec::new(),
-        members: members.collect::<Result<_, _>>()?,
+        members: members.collect(),
         waiting: 0,
     })
 }
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -144,6 +144,9 @@
         /// The new state as text.
         what: &'static str,
     },
+    /// An announcement was ignored: it names a database of a configured service under a
+    /// service that is not configured.
+    AnnouncementIgnored(InstanceKey),
     /// A workspace reached its cap, or has not reached it lately.
     CapChanged(CapChange),
 }
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -8,6 +8,11 @@
 impl ControlHost {
     /// Records an announcement made to this host and forwards it.
     pub(super) fn handle_announcement(&mut self, now: Moment, record: InstanceRecord) {
+        if self.displaces_named_database(&record) {
+            let event = ControlLogEvent::AnnouncementIgnored(record.key);
+            self.effects.push(ControlEffect::Log(event));
+            return;
+        }
         match self.directory.record_announcement(now, &record) {
             DirectoryChange::Stale => {}
             DirectoryChange::Refreshed => {
@@ -26,7 +31,23 @@
         }
     }
 
+    /// True if the record's service is not configured and its id or address is that of a
+    /// database whose service is: another writer's announcement does not replace it.
+    fn displaces_named_database(&self, record: &InstanceRecord) -> bool {
+        let Some(table) = &self.control.routes else {
+            return false;
+        };
+        let is_named = |known: &InstanceRecord| table.service(&known.service).is_some();
+        let displaced = self
+            .directory
+            .get(&record.key.id)
+            .into_iter()
+            .chain(self.directory.address_owner(record));
+        !is_named(record) && displaced.into_iter().any(is_named)
+    }
+
     pub(super) fn apply_announcements(&mut self, now: Moment, mut records: Vec<InstanceRecord>) {
+        records.retain(|record| !self.displaces_named_database(record));
         records.retain(|record| {
             self.directory.record_announcement(now, record) == DirectoryChange::Changed
         });
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -131,7 +131,8 @@
             }
         }
         for record in self.control.instances.values() {
-            if self.directory.has_departed(&record.key) {
+            // It has departed, or another database has taken its address.
+            if self.directory.get(&record.key.id).is_none() {
                 commands.push(ControlCommand::InstanceGone(InstanceDeparture {
                     id: record.key.id.clone(),
                     born_ms: Some(record.key.born_ms),
--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -61,8 +61,19 @@
     fn record_lost_holder(&mut self, record: InstanceRecord) {
         let rule = self.routes.as_ref().and_then(|table| table.service(&record.service));
         let replicated = rule.is_some_and(|rule| rule.sync_replicas > 0);
-        if replicated && let Some(term) = self.terms.get_mut(&record.service) {
-            term.lost_holders.push(LostHolder { key: record.key, address: record.address });
+        let Some(term) = self.terms.get_mut(&record.service).filter(|_| replicated) else {
+            return;
+        };
+        let heir = self
+            .instances
+            .values()
+            .find(|other| other.service == record.service && other.address == record.address);
+        match heir {
+            Some(heir) if record.key == term.primary => term.heir = Some(heir.key.clone()),
+            Some(_) => {}
+            None => {
+                term.lost_holders.push(LostHolder { key: record.key, address: record.address });
+            }
         }
     }
 
--- a/crates/decisions/src/identity/names.rs
+++ b/crates/decisions/src/identity/names.rs
@@ -93,6 +93,14 @@
     /// Name of a data centre.
     DataCentre
 }
+
+impl DataCentre {
+    /// Stands for a data centre that is not known.
+    pub fn unknown() -> Self {
+        Self(Arc::from("unknown"))
+    }
+}
+
 checked_name! {
     /// Identifier of a caller's session, chosen by the caller or by the host.
     SessionId
--- a/crates/decisions/src/instances/instance_directory.rs
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -6,7 +6,7 @@
 /// Result of recording an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DirectoryChange {
-    /// Ignored: newer information is known.
+    /// Ignored: newer information is known, or the record names no usable database.
     Stale,
     /// Equal to the known record, whose time is updated.
     Refreshed,
@@ -51,6 +51,9 @@
     /// Records an earlier announcement whose age is not known.
     pub fn restore(&mut self, now: Moment, record: &InstanceRecord) -> DirectoryChange {
         let id = &record.key.id;
+        if !record.is_valid() {
+            return DirectoryChange::Stale;
+        }
         if self.departed.get(id).is_some_and(|born| record.key.born_ms <= *born) {
             return DirectoryChange::Stale;
         }
@@ -171,13 +174,16 @@
             .map(|(id, born_ms)| InstanceDeparture { id: id.clone(), born_ms: Some(*born_ms) })
     }
 
+    /// Another database with the record's address.
+    pub fn address_owner(&self, record: &InstanceRecord) -> Option<&InstanceRecord> {
+        self.records()
+            .find(|other| other.address == record.address && other.key.id != record.key.id)
+    }
+
     /// Removes another database with the record's address; false if that one
     /// started later.
     fn claim_address(&mut self, record: &InstanceRecord) -> bool {
-        let address_owner = self
-            .records()
-            .find(|other| other.address == record.address && other.key.id != record.key.id)
-            .map(|other| other.key.clone());
+        let address_owner = self.address_owner(record).map(|other| other.key.clone());
         match address_owner {
             Some(owner) if owner.born_ms > record.key.born_ms => false,
             Some(owner) => {
--- a/crates/decisions/src/instances/instance_record.rs
+++ b/crates/decisions/src/instances/instance_record.rs
@@ -2,6 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest id, service or data centre of a database, in bytes.
+const MAX_WORD_BYTES: usize = 255;
+/// Largest number that every JSON reader holds exactly.
+const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+/// Most by which the clock of a database may be ahead, in milliseconds: one day. A start later
+/// than that would take addresses from databases for good.
+const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// One start of a database; a restart under the same id has another key.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct InstanceKey {
@@ -11,6 +19,13 @@
     pub born_ms: u64,
 }
 
+impl InstanceKey {
+    /// True if the start may have been at or before `now_unix_ms`, in milliseconds since 1970.
+    pub fn has_started(&self, now_unix_ms: u64) -> bool {
+        self.born_ms <= now_unix_ms.saturating_add(MAX_CLOCK_LEAD_MS)
+    }
+}
+
 impl fmt::Display for InstanceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{}", self.id, self.born_ms)
@@ -50,6 +65,18 @@
 }
 
 impl InstanceRecord {
+    /// True if the record names a database that can be used. Announcements of other writers
+    /// may hold anything.
+    pub fn is_valid(&self) -> bool {
+        let words = [&self.key.id, &self.service, &self.data_centre];
+        let ip = self.address.ip();
+        words.into_iter().all(|word| is_word(word))
+            && self.address.port() > 0
+            && !(ip.is_unspecified() || ip.is_multicast())
+            && self.slots > 0
+            && self.sequence.max(self.key.born_ms) <= MAX_EXACT_NUMBER
+    }
+
     /// True if both are equal apart from the sequence number. Data centre and
     /// warm-up time are not compared.
     pub fn equals_ignoring_sequence(&self, other: &Self) -> bool {
@@ -62,6 +89,14 @@
     }
 }
 
+impl InstanceDeparture {
+    /// The start that left, if it is named.
+    pub fn key(&self) -> Option<InstanceKey> {
+        let born_ms = self.born_ms?;
+        Some(InstanceKey { id: self.id.clone(), born_ms })
+    }
+}
+
 /// A database that announced its departure or expired.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceDeparture {
@@ -70,3 +105,9 @@
     /// Time of its start; `None` means the start that is known.
     pub born_ms: Option<u64>,
 }
+
+/// True if the text can be one field of a line that is sent to a database.
+fn is_word(text: &str) -> bool {
+    let is_separator = |character: char| character.is_whitespace() || character.is_control();
+    !text.is_empty() && text.len() <= MAX_WORD_BYTES && !text.contains(is_separator)
+}
--- a/crates/decisions/tests/instance_directory.rs
+++ b/crates/decisions/tests/instance_directory.rs
@@ -144,3 +144,33 @@
         prop_assert_eq!(newest(&rotated), expected);
     }
 }
+
+/// An odd record from an older build, or in a journal, must not be used or take the address of a
+/// database; those of the others hold.
+#[test]
+fn records_that_name_no_database_are_ignored() {
+    let odd = |change: fn(&mut InstanceRecord)| {
+        let mut odd = record("odd", 9, 9, 80);
+        change(&mut odd);
+        odd
+    };
+    let records = [
+        odd(|record| record.address.set_port(0)),
+        odd(|record| record.address.set_ip([0, 0, 0, 0].into())),
+        odd(|record| record.address.set_ip([224, 0, 0, 1].into())),
+        odd(|record| record.key.id = Arc::from("")),
+        odd(|record| record.service = Arc::from("books\r\nx")),
+        odd(|record| record.data_centre = Arc::from(" ")),
+        odd(|record| record.slots = 0),
+        odd(|record| record.key.born_ms = u64::MAX),
+        odd(|record| record.sequence = u64::MAX),
+    ];
+    for odd in records {
+        let mut directory = InstanceDirectory::default();
+        directory.record_announcement(NOW, &record("a", 1, 1, 80));
+        assert_eq!(directory.record_announcement(NOW, &odd), DirectoryChange::Stale, "{odd:?}");
+        assert_eq!(directory.restore(NOW, &odd), DirectoryChange::Stale);
+        assert!(directory.get("a").is_some());
+        assert_eq!(directory.records().count(), 1);
+    }
+}
