Form the first group of control hosts after a kill and on slow disks

Slow disks alone led to the same.

Cause: a host was a voter only once it had the first entry, the winner of the vote at once, and each answered only requests of its own kind. Ruled out: the votes on disk, and the wait of restarted voters.

Change: at the first start a host is a voter from the moment its vote to form the group is on its disk, and a voter without entries agrees to form a group. A host whose disk was lost starts without bootstrap and gains nothing by it.

--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -53,9 +53,11 @@
         if !pre_vote {
             self.extend_vote_time(now);
             let me = self.me;
+            let joins_group = forming && self.is_first_voter();
             self.update_hard_state(|hard| {
                 hard.term = term;
                 hard.voted_for = Some(me);
+                hard.eligible |= joins_group;
             });
         }
         let granted = BTreeSet::from([self.me]);
@@ -87,13 +89,22 @@
         }
     }
 
+    /// True at the first start of the deployment, when no disk can have been lost. A host
+    /// that then takes part in a vote to form the group is a voter of it from that vote on,
+    /// which is on its disk: the host that wins may stop before the others have an entry.
+    fn is_first_voter(&self) -> bool {
+        self.settings.first_voters.contains(&self.me)
+    }
+
     pub(super) fn receive_vote(&mut self, now: Moment, from: HostId, request: VoteRequest) {
         let granted = self.can_grant_vote(now, from, &request);
         if granted && !request.pre_vote {
             self.become_follower(now);
+            let joins_group = request.forming && self.is_first_voter();
             self.update_hard_state(|hard| {
                 hard.term = request.term;
                 hard.voted_for = Some(from);
+                hard.eligible |= joins_group;
             });
             self.reset_election_timer(now);
         }
@@ -107,10 +118,11 @@
 
     fn can_grant_vote(&self, now: Moment, from: HostId, request: &VoteRequest) -> bool {
         let abstains = now < self.abstains_until;
-        if abstains || self.is_leader() || request.forming == self.hard_state.eligible {
-            return false;
-        }
-        if request.forming && self.log.last_index() > 0 {
+        let may_vote = match request.forming {
+            true => self.log.last_index() == 0,
+            false => self.hard_state.eligible,
+        };
+        if abstains || self.is_leader() || !may_vote {
             return false;
         }
         let term_allows = match request.term.cmp(&self.hard_state.term) {
--- a/crates/decisions/src/agreement/journal_record.rs
+++ b/crates/decisions/src/agreement/journal_record.rs
@@ -15,7 +15,7 @@
     /// Host that received this voter's vote in that term, if any.
     pub voted_for: Option<HostId>,
     /// The host may vote and counts towards a quorum. False on an empty disk
-    /// until the host takes part in forming the group or a leader admits it.
+    /// until the host votes in forming the group or a leader admits it.
     pub eligible: bool,
     /// Random id of this disk, drawn when the disk was empty; 0 if not drawn yet.
     pub incarnation: u64,
