End messages of the line protocol with CR LF only

Cause: LineStream took any LF for the end of a message. Answers of databases and forwarded statements were read by the same code.

Change: only CR LF ends a message.

--- a/crates/daemon/src/links/line_stream.rs
+++ b/crates/daemon/src/links/line_stream.rs
@@ -17,12 +17,13 @@
 #[snafu(display("a line is longer than {MAX_LINE_BYTES} bytes"))]
 pub struct LineTooLong;
 
-/// A connection whose messages are lines that end with LF or CR LF.
+/// A connection whose messages are lines that end with CR LF. A CR or LF alone is part of
+/// the line.
 #[derive(Debug)]
 pub struct LineStream {
     stream: TcpStream,
     buffer: BytesMut,
-    /// Bytes of `buffer` that are known to hold no end of line.
+    /// Bytes of `buffer` in which no line ends.
     scanned: usize,
 }
 
@@ -55,19 +56,18 @@
     /// Removes the next complete line from the buffer, if there is one; does not
     /// read from the connection.
     pub fn take_buffered_line(&mut self) -> Option<Bytes> {
-        let found = self.buffer[self.scanned..].iter().position(|byte| *byte == b'\n');
-        let Some(offset) = found else {
-            self.scanned = self.buffer.len();
-            return None;
-        };
-        let end = self.scanned + offset;
-        self.scanned = 0;
-        let mut line = self.buffer.split_to(end + 1).freeze();
-        line.truncate(end);
-        if line.ends_with(b"\r") {
-            line.truncate(end - 1);
+        while let Some(offset) = self.buffer[self.scanned..].iter().position(|b| *b == b'\n') {
+            let end = self.scanned + offset;
+            if self.buffer[..end].ends_with(b"\r") {
+                self.scanned = 0;
+                let mut line = self.buffer.split_to(end + 1).freeze();
+                line.truncate(end - 1);
+                return Some(line);
+            }
+            self.scanned = end + 1;
         }
-        Some(line)
+        self.scanned = self.buffer.len();
+        None
     }
 
     /// Sends all of `bytes`, which must bring their line endings.
