Keep status requests and announcements as cheap as before

Found while reading the change: a planned or unplanned change without sync_replicas also asked for statuses only every 250 ms after 1.5 s, and each announcement searched all databases for its address. Both now concern only services with sync_replicas, and services that are not configured.

--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -38,12 +38,12 @@
             return false;
         };
         let is_named = |known: &InstanceRecord| table.service(&known.service).is_some();
-        let displaced = self
-            .directory
-            .get(&record.key.id)
-            .into_iter()
-            .chain(self.directory.address_owner(record));
-        !is_named(record) && displaced.into_iter().any(is_named)
+        if is_named(record) {
+            return false;
+        }
+        let same_id = self.directory.get(&record.key.id);
+        let same_address = self.directory.address_owner(record);
+        same_id.is_some_and(is_named) || same_address.is_some_and(is_named)
     }
 
     pub(super) fn apply_announcements(&mut self, now: Moment, mut records: Vec<InstanceRecord>) {
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -17,7 +17,7 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two status requests to one database.
 const STATUS_RETRY_INTERVAL: Duration = Duration::from_millis(60);
-/// The same once a change takes long: each request opens a connection.
+/// The same once the wait for a complete log takes long: each request opens a connection.
 const LATE_STATUS_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait of a planned change for a replica to receive all that the old
 /// primary has.
@@ -243,7 +243,7 @@
         }
         let old_primary = planned.then(|| term.primary.clone());
         let keys = candidates.iter().map(|record| record.key.clone()).chain(old_primary).collect();
-        self.request_statuses(now, keys)
+        self.request_statuses(now, keys, STATUS_RETRY_INTERVAL)
     }
 
     /// Selects a successor that holds every acknowledged commit, where these are on
@@ -284,7 +284,11 @@
             return self.choose(term, record.key.clone(), status);
         }
         let keys = replicas.iter().map(|record| record.key.clone());
-        self.request_statuses(now, keys.chain([term.primary.clone()]).collect())
+        let interval = match now.since(self.fenced_at.unwrap_or(now)) < CATCH_UP_TIMEOUT {
+            true => STATUS_RETRY_INTERVAL,
+            false => LATE_STATUS_RETRY_INTERVAL,
+        };
+        self.request_statuses(now, keys.chain([term.primary.clone()]).collect(), interval)
     }
 
     /// The lowest rank that may be chosen now.
@@ -362,11 +366,12 @@
     }
 
     /// Requests the status of those databases that were not asked lately.
-    fn request_statuses(&mut self, now: Moment, keys: Vec<InstanceKey>) -> Vec<TermStep> {
-        let interval = match now.since(self.fenced_at.unwrap_or(now)) < CATCH_UP_TIMEOUT {
-            true => STATUS_RETRY_INTERVAL,
-            false => LATE_STATUS_RETRY_INTERVAL,
-        };
+    fn request_statuses(
+        &mut self,
+        now: Moment,
+        keys: Vec<InstanceKey>,
+        interval: Duration,
+    ) -> Vec<TermStep> {
         let mut steps = Vec::new();
         for key in keys {
             if self.asked_at.get(&key).is_none_or(|at| now.since(*at) >= interval) {
