Name lost databases and the successor of a log in plain terms

holders are the hosts with a lease elsewhere in the code, and heir is no term of the field. Names only, also in the records that are new since the review: lost_databases, log_successor and ServiceLossCovered.

--- a/crates/decisions/src/control_role/catch_up_flow.rs
+++ b/crates/decisions/src/control_role/catch_up_flow.rs
@@ -25,7 +25,7 @@
         let drains = || self.directory.get(&term.primary.id).is_some_and(|record| record.draining);
         term.is_steady()
             && self.sync_replicas(&term.service) > 0
-            && (!term.lost_holders.is_empty() || drains())
+            && (!term.lost_databases.is_empty() || drains())
     }
 
     fn advance_catch_up_probe(&mut self, now: Moment, term: &ServiceTerm) {
@@ -46,14 +46,14 @@
         for key in requests {
             self.request_status(term.service.clone(), key);
         }
-        self.replace_lost_holders(now, term);
+        self.cover_losses(now, term);
     }
 
     /// Stops counting lost databases once so many replicas hold what they may have held
     /// that an acknowledged commit is not on them alone.
-    fn replace_lost_holders(&mut self, now: Moment, term: &ServiceTerm) {
+    fn cover_losses(&mut self, now: Moment, term: &ServiceTerm) {
         let lost: Vec<InstanceKey> = term
-            .lost_holders
+            .lost_databases
             .iter()
             .map(|holder| holder.key.clone())
             .filter(|key| *key != term.primary)
@@ -63,7 +63,7 @@
         }
         let holders = self.caught_up_replicas(now, term).count();
         if holders >= self.sync_replicas(&term.service) as usize {
-            let command = ControlCommand::ServiceHoldersReplaced {
+            let command = ControlCommand::ServiceLossCovered {
                 service: term.service.clone(),
                 number: term.number,
                 lost,
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -294,7 +294,7 @@
         let known = self.control.instances.values();
         let known = known.filter(|record| record.service == term.service).map(|record| &record.key);
         let holders: BTreeSet<&Arc<str>> = term
-            .lost_holders
+            .lost_databases
             .iter()
             .map(|holder| &holder.key)
             .chain(known)
--- a/crates/decisions/src/control_state/control_command.rs
+++ b/crates/decisions/src/control_state/control_command.rs
@@ -130,7 +130,7 @@
         drained: bool,
     },
     /// Enough replicas hold what these lost databases may have held alone.
-    ServiceHoldersReplaced {
+    ServiceLossCovered {
         /// The service.
         service: Arc<str>,
         /// Number of the term.
--- a/crates/decisions/src/control_state/replicated_state.rs
+++ b/crates/decisions/src/control_state/replicated_state.rs
@@ -157,8 +157,8 @@
             ControlCommand::ServiceTermStarted { service, number, drained } => {
                 self.start_service_term(service, *number, *drained);
             }
-            ControlCommand::ServiceHoldersReplaced { service, number, lost } => {
-                self.forget_lost_holders(service, *number, lost);
+            ControlCommand::ServiceLossCovered { service, number, lost } => {
+                self.forget_lost_databases(service, *number, lost);
             }
         }
     }
--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -4,7 +4,7 @@
 use crate::{
     instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     outcomes::ResultCode,
-    primaries::{LostHolder, ServiceTerm, TermPhase},
+    primaries::{LostDatabase, ServiceTerm, TermPhase},
     routes::RouteTable,
 };
 
@@ -39,13 +39,12 @@
             return;
         };
         // It has come back, or has taken over the log of the one that had its address.
-        let took_over = |holder: &LostHolder| {
-            holder.key.id == record.key.id || holder.address == record.address
-        };
-        if term.lost_holders.iter().any(|holder| took_over(holder) && holder.key == term.primary) {
-            term.heir = Some(record.key.clone());
+        let replaces =
+            |lost: &LostDatabase| lost.key.id == record.key.id || lost.address == record.address;
+        if term.lost_databases.iter().any(|lost| replaces(lost) && lost.key == term.primary) {
+            term.log_successor = Some(record.key.clone());
         }
-        term.lost_holders.retain(|holder| !took_over(holder));
+        term.lost_databases.retain(|lost| !replaces(lost));
     }
 
     pub(super) fn remove_instance(&mut self, departure: &InstanceDeparture) {
@@ -53,38 +52,40 @@
         if known.is_some_and(|known| departure.born_ms.is_none_or(|born| known <= born))
             && let Some(record) = self.instances.remove(&departure.id)
         {
-            self.record_lost_holder(record);
+            self.record_lost_database(record);
         }
     }
 
     /// Records that a database is gone which may have held an acknowledged commit alone.
-    fn record_lost_holder(&mut self, record: InstanceRecord) {
+    fn record_lost_database(&mut self, record: InstanceRecord) {
         let rule = self.routes.as_ref().and_then(|table| table.service(&record.service));
         let replicated = rule.is_some_and(|rule| rule.sync_replicas > 0);
         let Some(term) = self.terms.get_mut(&record.service).filter(|_| replicated) else {
             return;
         };
-        let heir = self
+        let successor = self
             .instances
             .values()
             .find(|other| other.service == record.service && other.address == record.address);
-        match heir {
-            Some(heir) if record.key == term.primary => term.heir = Some(heir.key.clone()),
+        match successor {
+            Some(successor) if record.key == term.primary => {
+                term.log_successor = Some(successor.key.clone());
+            }
             Some(_) => {}
             None => {
-                term.lost_holders.push(LostHolder { key: record.key, address: record.address });
+                term.lost_databases.push(LostDatabase { key: record.key, address: record.address });
             }
         }
     }
 
-    pub(super) fn forget_lost_holders(
+    pub(super) fn forget_lost_databases(
         &mut self,
         service: &Arc<str>,
         number: u64,
         lost: &[InstanceKey],
     ) {
         if let Some(term) = self.terms.get_mut(service).filter(|term| term.number == number) {
-            term.lost_holders.retain(|holder| !lost.contains(&holder.key));
+            term.lost_databases.retain(|database| !lost.contains(&database.key));
         }
     }
 
@@ -157,8 +158,8 @@
                 false => TermPhase::Steady,
             };
             // The new primary holds every acknowledged commit.
-            term.lost_holders.clear();
-            term.heir = None;
+            term.lost_databases.clear();
+            term.log_successor = None;
         }
     }
 }
--- a/crates/decisions/src/pg_host/control_flow.rs
+++ b/crates/decisions/src/pg_host/control_flow.rs
@@ -120,7 +120,7 @@
             | ControlCommand::ServiceTermEnded { .. }
             | ControlCommand::ServicePrimaryChosen { .. }
             | ControlCommand::ServiceTermStarted { .. }
-            | ControlCommand::ServiceHoldersReplaced { .. } => {}
+            | ControlCommand::ServiceLossCovered { .. } => {}
             ControlCommand::LeaderElected => {}
             ControlCommand::PlanMade(plan) => self.answer_plans(plan),
             ControlCommand::HostJoined(HostRecord { id, .. }) | ControlCommand::HostLeft(id) => {
--- a/crates/decisions/src/primaries/catch_up_probe.rs
+++ b/crates/decisions/src/primaries/catch_up_probe.rs
@@ -30,7 +30,7 @@
 impl CatchUpProbe {
     /// Creates the probe of a term's primary.
     pub fn new(term: &ServiceTerm) -> Self {
-        let lost = term.lost_holders.iter().map(|holder| holder.key.clone()).collect();
+        let lost = term.lost_databases.iter().map(|holder| holder.key.clone()).collect();
         Self {
             primary: term.primary.clone(),
             lost,
@@ -43,7 +43,7 @@
     /// True if the probe is of this primary and began after all its databases were lost
     /// that are lost now.
     pub fn matches_term(&self, term: &ServiceTerm) -> bool {
-        let lost = term.lost_holders.iter().map(|holder| &holder.key);
+        let lost = term.lost_databases.iter().map(|holder| &holder.key);
         self.primary == term.primary && lost.eq(self.lost.iter())
     }
 
--- a/crates/decisions/src/primaries/log_reports.rs
+++ b/crates/decisions/src/primaries/log_reports.rs
@@ -56,8 +56,9 @@
                 .filter(|status| status.received > LogPosition::default())
                 .max_by_key(|status| status.received)
         };
-        let heir = || term.heir.as_ref().and_then(|heir| self.get(heir));
-        let status = self.get(&term.primary).or_else(heir).or_else(restarted);
+        let log_successor =
+            || term.log_successor.as_ref().and_then(|log_successor| self.get(log_successor));
+        let status = self.get(&term.primary).or_else(log_successor).or_else(restarted);
         status.map(|status| status.received)
     }
 
--- a/crates/decisions/src/primaries/mod.rs
+++ b/crates/decisions/src/primaries/mod.rs
@@ -7,6 +7,6 @@
 mod term_change;
 
 pub use catch_up_probe::CatchUpProbe;
-pub use service_term::{LostHolder, ServiceTerm, TermPhase};
+pub use service_term::{LostDatabase, ServiceTerm, TermPhase};
 pub use suspicion_poll::SuspicionPoll;
 pub use term_change::{HolderView, InstanceStatus, SuccessionRules, TermChange, TermStep};
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -25,7 +25,7 @@
 /// A database of a service that is gone, and that may have held an acknowledged commit
 /// which no remaining replica has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LostHolder {
+pub struct LostDatabase {
     /// The database.
     pub key: InstanceKey,
     /// Its address. A database that starts there for the same service has its log.
@@ -53,10 +53,10 @@
     /// Databases that were lost during this term, where commits are acknowledged once
     /// replicas have them; older builds do not keep them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub lost_holders: Vec<LostHolder>,
+    pub lost_databases: Vec<LostDatabase>,
     /// The database that took over the log of the primary, which is gone.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub heir: Option<InstanceKey>,
+    pub log_successor: Option<InstanceKey>,
 }
 
 impl ServiceTerm {
@@ -69,8 +69,8 @@
             primary,
             phase: TermPhase::Steady,
             above_term: 0,
-            lost_holders: Vec::new(),
-            heir: None,
+            lost_databases: Vec::new(),
+            log_successor: None,
         }
     }
 
--- a/crates/wire/tests/message_snapshots.rs
+++ b/crates/wire/tests/message_snapshots.rs
@@ -230,7 +230,7 @@
         } }),
         json!({ "ServiceTermStarted": { "service": "books", "number": 5 } }),
         json!({ "ServiceTermStarted": { "service": "books", "number": 5, "drained": true } }),
-        json!({ "ServiceHoldersReplaced": {
+        json!({ "ServiceLossCovered": {
             "service": "books", "number": 5, "lost": [instance_key()]
         } }),
     ]
@@ -501,8 +501,8 @@
 fn lost_databases_keep_form() {
     let mut term = service_term(json!("Steady"));
     let lost = json!({ "key": instance_key(), "address": "10.0.0.1:5432" });
-    term["lost_holders"] = json!([lost]);
-    term["heir"] = instance_key();
+    term["lost_databases"] = json!([lost]);
+    term["log_successor"] = instance_key();
     insta::assert_snapshot!("lost_databases", hex(&encoded::<ServiceTerm>(&term)));
 }
 
