Confirm the end of a term only once its writes have ended

A planned change of primary may choose the successor by a position that the old primary reports too early: an entry host reported the state before the one that ended the term, though that state also held later entries, such as a configuration. The leader took the host for fenced up to 400 ms early, while the host still acknowledged open writes of the term.

Cause: StateConfirmations kept the index of the state, not the index at which the term ended within it.

Change: it keeps the index at which the first of the terms with open writes ended, and confirms only states before that.

Measured: state_with_later_entries_does_not_confirm_a_term_with_open_writes fails with the old rule (8 instead of 5) and passes now.

--- a/crates/daemon/src/entry_role/control_links.rs
+++ b/crates/daemon/src/entry_role/control_links.rs
@@ -261,7 +261,8 @@
     /// waits until the open writes have ended, for `PLANNED_DRAIN_TIMEOUT` at most;
     /// later answers to them are not accepted.
     fn confirm_applied(&mut self, index: u64, planned: Vec<ServiceTerm>) {
-        self.confirmations.record_applied(index, !planned.is_empty());
+        let ended_at = planned.iter().map(|term| term.since_index).min();
+        self.confirmations.record_applied(index, ended_at);
         // Also while writes are open: the renewal requests what was committed since.
         self.confirms.request(self.shared.now());
         if planned.is_empty() {
--- a/crates/decisions/src/entry_role/state_confirmations.rs
+++ b/crates/decisions/src/entry_role/state_confirmations.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// States of the control log that an entry host has applied, and up to which of them
 /// it may report so. The leader takes the report of a term's end as the promise that
@@ -6,16 +6,18 @@
 #[derive(Debug, Default)]
 pub struct StateConfirmations {
     applied: u64,
-    waiting: BTreeSet<u64>,
+    /// Indexes at which terms with open writes ended, by that of the state which said so.
+    waiting: BTreeMap<u64, u64>,
 }
 
 impl StateConfirmations {
-    /// Records that the state at `index` is applied; `waits` if it ends a term with
-    /// writes that may still be acknowledged.
-    pub fn record_applied(&mut self, index: u64, waits: bool) {
+    /// Records that the state at `index` is applied. `ended_at` is the index at which the
+    /// first of those terms ended whose writes may still be acknowledged; a state also holds
+    /// what was committed after that.
+    pub fn record_applied(&mut self, index: u64, ended_at: Option<u64>) {
         self.applied = self.applied.max(index);
-        if waits {
-            self.waiting.insert(index);
+        if let Some(ended_at) = ended_at {
+            self.waiting.insert(index, ended_at);
         }
     }
 
@@ -27,6 +29,6 @@
 
     /// Index up to which all states may be reported as applied.
     pub fn confirmed(&self) -> u64 {
-        self.waiting.first().map_or(self.applied, |first| first - 1)
+        self.waiting.values().min().map_or(self.applied, |first| first.saturating_sub(1))
     }
 }
--- a/crates/decisions/tests/planned_changes.rs
+++ b/crates/decisions/tests/planned_changes.rs
@@ -21,17 +21,33 @@
 #[test]
 fn later_state_does_not_confirm_a_term_with_open_writes() {
     let mut confirmations = StateConfirmations::default();
-    confirmations.record_applied(4, false);
-    confirmations.record_applied(5, true);
-    confirmations.record_applied(7, false);
+    confirmations.record_applied(4, None);
+    confirmations.record_applied(5, Some(5));
+    confirmations.record_applied(7, None);
     assert_eq!(confirmations.confirmed(), 4);
-    confirmations.record_applied(8, true);
+    confirmations.record_applied(8, Some(8));
     confirmations.record_writes_ended(5);
     assert_eq!(confirmations.confirmed(), 7);
     confirmations.record_writes_ended(8);
     assert_eq!(confirmations.confirmed(), 8);
 }
 
+/// A state that holds both the end of a term and a later entry, such as a configuration, must
+/// not confirm the end of the term while writes of it are open.
+#[test]
+fn state_with_later_entries_does_not_confirm_a_term_with_open_writes() {
+    let mut confirmations = StateConfirmations::default();
+    confirmations.record_applied(4, None);
+    confirmations.record_applied(9, Some(6));
+    assert_eq!(confirmations.confirmed(), 5);
+    confirmations.record_applied(12, Some(10));
+    assert_eq!(confirmations.confirmed(), 5);
+    confirmations.record_writes_ended(9);
+    assert_eq!(confirmations.confirmed(), 9);
+    confirmations.record_writes_ended(12);
+    assert_eq!(confirmations.confirmed(), 12);
+}
+
 /// A write that outlasts the wait for it must not be acknowledged after the host has
 /// confirmed the end of its term.
 #[test]
