Count a replica that restarts without its log as missing

With sync_replicas, a replica that started again under its id counted as holding its former log. If it held nothing, and the primary failed before the others had caught up, a database without acknowledged commits was promoted.

Cause: the state took a later start, or a database at the same address, for the one that had been lost, whatever its log held.

Change: lost databases stay on record until enough replicas hold what the primary has. What stands in the place of one counts as silent while its log is empty; with a log it counts as before. An empty log of the primary's successor is not taken for the primary's position either.

replicated_commits now also draws restarts under the same id, with and without the log, and checks that a change of primary ends within 12 s while a replica that stays holds all that the primary has.

--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -11,7 +11,8 @@
     identity::HostId,
     instances::{InstanceDeparture, InstanceKey, InstanceRecord, InstanceRole},
     primaries::{
-        HolderView, InstanceStatus, ServiceTerm, SuccessionRules, TermChange, TermPhase, TermStep,
+        HolderView, InstanceStatus, LostDatabase, ServiceTerm, SuccessionRules, TermChange,
+        TermPhase, TermStep,
     },
 };
 
@@ -266,12 +267,8 @@
                 Some(change) => change.next_phase(now, term),
                 None => TermChange::new(now, term),
             };
-            let rules = SuccessionRules {
-                sync_replicas: self.sync_replicas(&term.service),
-                unseen_replicas: self.count_unseen_replicas(term),
-                drain_limit: self.settings.drain_limit(),
-            };
-            let next = change.next_steps(now, term, &self.directory, view, rules);
+            let rules = self.succession_rules(term);
+            let next = change.next_steps(now, term, &self.directory, view, &rules);
             steps.extend(next.into_iter().map(|step| (term.clone(), step)));
             changes.insert(term.service.clone(), change);
         }
@@ -288,20 +285,35 @@
         routes.and_then(|table| table.service(service)).map_or(0, |rule| rule.sync_replicas)
     }
 
-    /// Number of replicas that are gone, or about to be recorded as gone, and may have held
-    /// an acknowledged commit alone.
-    fn count_unseen_replicas(&self, term: &ServiceTerm) -> usize {
+    fn succession_rules(&self, term: &ServiceTerm) -> SuccessionRules {
+        let (mut unseen, mut replacements) = (BTreeSet::new(), BTreeSet::new());
+        for lost in self.lost_replicas(term) {
+            let mut records = self.directory.instances_of_service(&term.service);
+            match records.find(|record| lost.is_replaced_by(record)) {
+                Some(record) => replacements.insert(record.key.clone()),
+                // Databases that had one address, one after the other, had one log.
+                None => unseen.insert(lost.address),
+            };
+        }
+        SuccessionRules {
+            sync_replicas: self.sync_replicas(&term.service),
+            unseen_replicas: unseen.len(),
+            replacements: replacements.into_iter().collect(),
+            drain_limit: self.settings.drain_limit(),
+        }
+    }
+
+    /// Replicas that are gone, or about to be recorded as gone, and may have held an
+    /// acknowledged commit alone.
+    fn lost_replicas(&self, term: &ServiceTerm) -> Vec<LostDatabase> {
         let known = self.control.instances.values();
-        let known = known.filter(|record| record.service == term.service).map(|record| &record.key);
-        let holders: BTreeSet<&Arc<str>> = term
-            .lost_databases
-            .iter()
-            .map(|holder| &holder.key)
-            .chain(known)
-            .map(|key| &key.id)
-            .filter(|id| **id != term.primary.id && self.directory.get(id).is_none())
-            .collect();
-        holders.len()
+        let known = known
+            .filter(|record| record.service == term.service)
+            .map(|record| LostDatabase { key: record.key.clone(), address: record.address });
+        let lost = term.lost_databases.iter().cloned().chain(known);
+        lost.filter(|lost| lost.key.id != term.primary.id)
+            .filter(|lost| self.directory.get_by_key(&lost.key).is_none())
+            .collect()
     }
 
     fn execute_step(&mut self, now: Moment, term: &ServiceTerm, step: TermStep) {
--- a/crates/decisions/src/control_state/service_terms.rs
+++ b/crates/decisions/src/control_state/service_terms.rs
@@ -34,17 +34,20 @@
     }
 
     pub(super) fn record_instance(&mut self, record: &InstanceRecord) {
-        self.instances.insert(record.key.id.clone(), record.clone());
+        let former = self.instances.insert(record.key.id.clone(), record.clone());
+        if let Some(former) = former.filter(|former| former.key != record.key) {
+            self.record_lost_database(former);
+        }
         let Some(term) = self.terms.get_mut(&record.service) else {
             return;
         };
-        // It has come back, or has taken over the log of the one that had its address.
-        let replaces =
-            |lost: &LostDatabase| lost.key.id == record.key.id || lost.address == record.address;
-        if term.lost_databases.iter().any(|lost| replaces(lost) && lost.key == term.primary) {
+        let primary = term.primary.clone();
+        let replaces_primary =
+            |lost: &LostDatabase| lost.key == primary && lost.is_replaced_by(record);
+        if term.lost_databases.iter().any(replaces_primary) {
             term.log_successor = Some(record.key.clone());
+            term.lost_databases.retain(|lost| !replaces_primary(lost));
         }
-        term.lost_databases.retain(|lost| !replaces(lost));
     }
 
     pub(super) fn remove_instance(&mut self, departure: &InstanceDeparture) {
@@ -56,25 +59,25 @@
         }
     }
 
-    /// Records that a database is gone which may have held an acknowledged commit alone.
+    /// Records that a database is gone which may have held an acknowledged commit alone. One
+    /// that starts again under its id, or at its address, need not hold what it held.
     fn record_lost_database(&mut self, record: InstanceRecord) {
         let rule = self.routes.as_ref().and_then(|table| table.service(&record.service));
         let replicated = rule.is_some_and(|rule| rule.sync_replicas > 0);
         let Some(term) = self.terms.get_mut(&record.service).filter(|_| replicated) else {
             return;
         };
+        let lost = LostDatabase { key: record.key, address: record.address };
         let successor = self
             .instances
             .values()
-            .find(|other| other.service == record.service && other.address == record.address);
+            .find(|other| other.service == record.service && lost.is_replaced_by(other));
         match successor {
-            Some(successor) if record.key == term.primary => {
+            Some(successor) if lost.key == term.primary => {
                 term.log_successor = Some(successor.key.clone());
             }
-            Some(_) => {}
-            None => {
-                term.lost_databases.push(LostDatabase { key: record.key, address: record.address });
-            }
+            _ if term.lost_databases.iter().any(|known| known.address == lost.address) => {}
+            _ => term.lost_databases.push(lost),
         }
     }
 
--- a/crates/decisions/src/primaries/log_reports.rs
+++ b/crates/decisions/src/primaries/log_reports.rs
@@ -47,17 +47,19 @@
         self.statuses.values().map(|status| status.term).max().unwrap_or(0)
     }
 
-    /// Position of the old primary's log: its own answer, that of the database which took
-    /// over its log, or its own after a restart with a log.
+    /// Position of the old primary's log: its own answer, or one with a log of the database
+    /// which took over its log, or of its restart.
     pub(super) fn primary_position(&self, term: &ServiceTerm) -> Option<LogPosition> {
         let restarted = || {
             let own = self.statuses.iter().filter(|(key, _)| key.id == term.primary.id);
             own.map(|(_, status)| *status)
-                .filter(|status| status.received > LogPosition::default())
+                .filter(InstanceStatus::has_log)
                 .max_by_key(|status| status.received)
         };
-        let log_successor =
-            || term.log_successor.as_ref().and_then(|log_successor| self.get(log_successor));
+        let log_successor = || {
+            let successor = term.log_successor.as_ref()?;
+            self.get(successor).filter(InstanceStatus::has_log)
+        };
         let status = self.get(&term.primary).or_else(log_successor).or_else(restarted);
         status.map(|status| status.received)
     }
@@ -67,12 +69,13 @@
     ///
     /// The fenced primary holds all commits. So does one of the replicas, if fewer than
     /// `sync_replicas` of them did not answer. Replicas that may not be promoted count
-    /// as well: a draining replica acknowledges commits until it ends.
+    /// as well: a draining replica acknowledges commits until it ends. So do replicas that
+    /// are gone, until a database with a log has taken their place.
     pub(super) fn required_position(
         &self,
         term: &ServiceTerm,
         replicas: &[&InstanceRecord],
-        rules: SuccessionRules,
+        rules: &SuccessionRules,
     ) -> Option<LogPosition> {
         let of_primary = self.primary_position(term);
         let answers: Vec<LogPosition> = replicas
@@ -80,7 +83,9 @@
             .filter_map(|record| self.get(&record.key))
             .map(|status| status.received)
             .collect();
-        let missing = replicas.len() - answers.len() + rules.unseen_replicas;
+        let empty = rules.replacements.iter().filter_map(|key| self.get(key));
+        let empty = empty.filter(|status| !status.has_log()).count();
+        let missing = replicas.len() - answers.len() + rules.unseen_replicas + empty;
         let of_replicas =
             answers.into_iter().max().filter(|_| missing < rules.sync_replicas as usize);
         match (of_primary, of_replicas) {
--- a/crates/decisions/src/primaries/service_term.rs
+++ b/crates/decisions/src/primaries/service_term.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::instances::InstanceKey;
+use crate::instances::{InstanceKey, InstanceRecord};
 
 /// Phase of a service's term.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,10 +28,19 @@
 pub struct LostDatabase {
     /// The database.
     pub key: InstanceKey,
-    /// Its address. A database that starts there for the same service has its log.
+    /// Its address. Its log is transferred to a database that starts there.
     pub address: SocketAddr,
 }
 
+impl LostDatabase {
+    /// True if the record is of a later start of the database, or of the one that takes its
+    /// address.
+    pub fn is_replaced_by(&self, record: &InstanceRecord) -> bool {
+        let is_same = self.key.id == record.key.id || self.address == record.address;
+        is_same && self.key != record.key
+    }
+}
+
 /// Committed primary of a service. The control hosts count its terms
 /// themselves, independently of the terms that databases count.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -41,6 +41,14 @@
     pub received: LogPosition,
 }
 
+impl InstanceStatus {
+    /// True if the database holds any commit: one that has just started again may have lost
+    /// its log, or not received the one that is transferred to it.
+    pub(super) fn has_log(&self) -> bool {
+        self.received.offset > 0
+    }
+}
+
 /// Preference among databases that hold every acknowledged commit, least first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum CandidateRank {
@@ -109,12 +117,15 @@
 }
 
 /// Rules for the choice of a service's next primary.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct SuccessionRules {
     /// Number of replicas that hold each acknowledged commit.
     pub sync_replicas: u32,
     /// Replicas that are gone and may have held an acknowledged commit alone.
     pub unseen_replicas: usize,
+    /// Databases in the place of such replicas: later starts of them, or databases at their
+    /// addresses. They hold what those held only if they have a log.
+    pub replacements: Vec<InstanceKey>,
     /// Time after which a draining database is no longer chosen; `None` for no limit.
     pub drain_limit: Option<Duration>,
 }
@@ -168,7 +179,7 @@
         term: &ServiceTerm,
         directory: &InstanceDirectory,
         view: HolderView<'_>,
-        rules: SuccessionRules,
+        rules: &SuccessionRules,
     ) -> Vec<TermStep> {
         if self.proposed {
             return Vec::new();
@@ -215,7 +226,7 @@
         term: &ServiceTerm,
         directory: &InstanceDirectory,
         planned: bool,
-        rules: SuccessionRules,
+        rules: &SuccessionRules,
     ) -> Vec<TermStep> {
         let old_primary_allowed = self.is_old_primary_allowed(now, planned);
         let candidates: Vec<&InstanceRecord> = directory
@@ -254,7 +265,7 @@
         term: &ServiceTerm,
         directory: &InstanceDirectory,
         planned: bool,
-        rules: SuccessionRules,
+        rules: &SuccessionRules,
     ) -> Vec<TermStep> {
         let records: Vec<&InstanceRecord> = directory.instances_of_service(&term.service).collect();
         let replicas: Vec<&InstanceRecord> =
@@ -388,7 +399,7 @@
         chosen: &InstanceKey,
         above_term: u64,
         directory: &InstanceDirectory,
-        rules: SuccessionRules,
+        rules: &SuccessionRules,
     ) -> Vec<TermStep> {
         let leads = self
             .reports
--- a/crates/decisions/tests/replicated_commits.rs
+++ b/crates/decisions/tests/replicated_commits.rs
@@ -41,6 +41,8 @@
 /// Time in which a service gets a primary that stays once all databases are back: a lease,
 /// the wait for silent databases to be forgotten, and some attempts.
 const RECOVERY_TIME: Duration = Duration::from_secs(25);
+/// Time in which a change of primary ends while a replica that stays holds all commits.
+const CHANGE_TIME: Duration = Duration::from_secs(12);
 const ENTRY: HostId = HostId(101);
 const CONTROL: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
 
@@ -55,6 +57,8 @@
     deaf_until: Option<Moment>,
     /// Time at which it returns after a crash; `None` while it runs.
     returns_at: Option<Moment>,
+    /// It returns as a new start under its id.
+    restarts: bool,
     announced_at: Moment,
 }
 
@@ -93,6 +97,8 @@
     leader: Arc<str>,
     led_term: u64,
     primary_drains: u32,
+    /// Time since which a change of primary could have ended.
+    may_end_since: Option<Moment>,
 }
 
 impl CommitSchedule {
@@ -115,6 +121,7 @@
             leader: Arc::from("i1"),
             led_term: 1,
             primary_drains: 0,
+            may_end_since: None,
         };
         for host in CONTROL {
             schedule
@@ -136,15 +143,20 @@
         Duration::from_millis(self.rng.random_range(from..to))
     }
 
+    /// Time of day in milliseconds.
+    fn unix_ms(&self) -> u64 {
+        self.world.now.as_micros() / 1_000
+    }
+
     /// Adds a database without a log, or one that takes over the log and the address of a
     /// database that has left.
     fn add_database(&mut self, role: InstanceRole, former: Option<Database>) -> Arc<str> {
         self.next_number += 1;
         let number = self.next_number;
-        let record = instance(&format!("i{number}"), number, role);
         let address = ([10, 0, 0, 9], 9_000 + number as u16).into();
         let address = former.as_ref().map_or(address, |former| former.record.address);
-        let record = InstanceRecord { address, ..record };
+        let id = format!("i{number}");
+        let record = InstanceRecord { address, ..instance(&id, self.unix_ms(), role) };
         let id = record.key.id.clone();
         let database = Database {
             record,
@@ -153,6 +165,7 @@
             leaves_at: None,
             deaf_until: None,
             returns_at: None,
+            restarts: false,
             announced_at: self.world.now,
         };
         self.world.database_terms.insert(id.clone(), self.led_term);
@@ -222,7 +235,14 @@
             }
             6 => {
                 let time = self.milliseconds(500, 8_000);
-                self.databases.get_mut(&id).unwrap().returns_at = Some(now + time);
+                let (restarts, loses_log) = (self.chance(2), self.chance(2));
+                let database = self.databases.get_mut(&id).unwrap();
+                database.returns_at = Some(now + time);
+                database.restarts = restarts;
+                // The leader has all commits: a primary comes back with its log.
+                if restarts && loses_log && id != self.leader {
+                    database.log.clear();
+                }
                 self.world.instances.remove(&id);
             }
             7 if self.databases.len() < 5 => {
@@ -262,6 +282,12 @@
             }
             if database.returns_at.is_some_and(|at| at <= now) {
                 database.returns_at = None;
+                if database.restarts {
+                    database.record.key.born_ms = now.as_micros() / 1_000;
+                    database.record.sequence = 0;
+                    database.draining_since = None;
+                    database.leaves_at = None;
+                }
                 database.record.role = match id == self.leader {
                     true => InstanceRole::Primary,
                     false => InstanceRole::Replica,
@@ -392,6 +418,28 @@
         self.world.run(STEP);
         self.check_promotion();
         self.check_term();
+        self.check_change();
+    }
+
+    /// A change of primary must end once a replica that does not drain holds all that the
+    /// primary has.
+    fn check_change(&mut self) {
+        let now = self.world.now;
+        let changes = self.term().is_some_and(|term| !term.is_steady());
+        let complete = self.primary().is_some_and(|primary| {
+            let length = self.databases[&primary].log.len();
+            self.running().iter().map(|id| &self.databases[id]).any(|database| {
+                database.draining_since.is_none()
+                    && database.record.key.id != primary
+                    && database.log.len() == length
+            })
+        });
+        if !(changes && complete) {
+            self.may_end_since = None;
+            return;
+        }
+        let waited = now.since(*self.may_end_since.get_or_insert(now));
+        assert!(waited <= CHANGE_TIME, "seed {}: the change does not end", self.seed);
     }
 
     /// The database that was promoted must hold every acknowledged commit.
--- a/crates/decisions/tests/successor_choice.rs
+++ b/crates/decisions/tests/successor_choice.rs
@@ -23,6 +23,7 @@
 const RULES: SuccessionRules = SuccessionRules {
     sync_replicas: 1,
     unseen_replicas: 0,
+    replacements: Vec::new(),
     drain_limit: Some(Duration::from_secs(6)),
 };
 
@@ -67,7 +68,7 @@
         let leases = LeaseTable::new(START, Duration::ZERO);
         let view =
             HolderView { holders: &BTreeSet::new(), leases: &leases, applied: &BTreeMap::new() };
-        self.change.next_steps(now, &self.term, &self.directory, view, self.rules)
+        self.change.next_steps(now, &self.term, &self.directory, view, &self.rules)
     }
 
     fn answer(&mut self, id: &str, offset: u64) {
@@ -186,6 +187,20 @@
     assert_eq!(chosen(&failover.steps_after(Duration::from_millis(1_100))), Some("a"));
 }
 
+/// A replica that has started again without its log may have held the last commit: only one
+/// that came back with a log counts as holding what it held.
+#[test]
+fn replica_that_restarts_without_its_log_counts_as_missing() {
+    for (log_end, expected) in [(0, None), (5, Some("c"))] {
+        let mut failover = Failover::new();
+        failover.rules.replacements = vec![InstanceKey { id: Arc::from("b"), born_ms: 1 }];
+        failover.steps_after(Duration::ZERO);
+        failover.answer("b", log_end);
+        failover.answer("c", 7);
+        assert_eq!(chosen(&failover.steps_after(Duration::from_millis(900))), expected);
+    }
+}
+
 /// A drained replica that must be promoted for its log must not be used: its term starts with a
 /// planned change.
 #[test]
