Remove a voter only if those left can commit the removal

Control could stay without a leader for good when control hosts were stopped and started in turn beside replacements. With five voters, of which one had been removed and another had just been killed, a leader that got SIGTERM took itself for one of two voters that are gone and removed itself first. Hosts follow the newest voters in their logs, committed or not: two of the four voters left were running, and three were needed, also after the restart.

Ruled out: disks and eligibility, as all running hosts had both.

Change: a removal is proposed only if the voters that it leaves and that were heard can commit it, and of several that are gone the one that has been silent longest leaves first.

--- a/crates/decisions/src/agreement/voter_changes.rs
+++ b/crates/decisions/src/agreement/voter_changes.rs
@@ -72,7 +72,10 @@
         });
         let lost_disk = lost_disk.map(|(host, _)| *host);
         if let Some(host) = lost_disk.or_else(|| self.removable_voter(now, leader, voters)) {
-            return Some(VoterChange::Remove(host));
+            let mut remaining = voters.clone();
+            remaining.remove(&host);
+            let commits = self.has_quorum(now, leader, &remaining);
+            return commits.then_some(VoterChange::Remove(host));
         }
         let caught_up = leader.followers.iter().find(|(host, follower)| {
             !voters.contains(host)
@@ -84,6 +87,21 @@
         caught_up.map(|(host, _)| VoterChange::Add(*host))
     }
 
+    /// True if so many of these voters run that they can commit. Hosts follow the newest
+    /// voters in their logs, committed or not: a change that the voters left by it cannot
+    /// commit would keep control without a leader, also once other hosts are back.
+    fn has_quorum(&self, now: Moment, leader: &LeaderState, voters: &BTreeSet<HostId>) -> bool {
+        let runs = |voter: &HostId| match leader.followers.get(voter) {
+            Some(follower) => {
+                follower.eligible
+                    && follower.acknowledged_at.is_some()
+                    && !self.is_gone(now, leader, *voter)
+            }
+            None => *voter == self.me && !self.stopping.contains_key(voter),
+        };
+        voters.iter().filter(|voter| runs(voter)).count() > voters.len() / 2
+    }
+
     /// A voter that is gone, if without it, or without it and another one that is gone, a
     /// quorum is smaller: an even number of voters tolerates no more failures than the odd
     /// number below it. A host that just restarts does not lose its vote where the number
@@ -94,14 +112,18 @@
         leader: &LeaderState,
         voters: &BTreeSet<HostId>,
     ) -> Option<HostId> {
-        let mut gone = voters.iter().copied().filter(|voter| self.is_gone(now, leader, *voter));
-        let first = gone.next()?;
+        let gone = voters.iter().copied().filter(|voter| self.is_gone(now, leader, *voter));
+        let gone: Vec<HostId> = gone.collect();
         let (is_worthwhile, fewest) = match self.settings.tolerated_losses {
-            _ if voters.len().is_multiple_of(2) => (true, voters.len() - 1),
-            Some(_) => (gone.next().is_some(), voters.len() - 2),
-            None => (false, 0),
+            _ if voters.len().is_multiple_of(2) => (!gone.is_empty(), voters.len() - 1),
+            Some(_) if voters.len() > 2 => (gone.len() > 1, voters.len() - 2),
+            _ => (false, 0),
         };
-        (is_worthwhile && fewest >= self.min_voters()).then_some(first)
+        // One that has just stopped may only restart.
+        let longest = gone
+            .into_iter()
+            .max_by_key(|voter| leader.followers.get(voter).map(|follower| silence(now, follower)));
+        longest.filter(|_| is_worthwhile && fewest >= self.min_voters())
     }
 
     /// Fewest voters that hold an entry after as many losses as must be tolerated.
--- a/crates/decisions/tests/voter_replacement.rs
+++ b/crates/decisions/tests/voter_replacement.rs
@@ -166,3 +166,58 @@
     let leader = world.leader().expect("a leader");
     assert_eq!(world.voters(leader), ids(&[1, 2, 3, 4, 5]));
 }
+
+/// A leader that restarts while others have been removed must not give its own vote up for
+/// theirs: the voters left would be too few to elect another leader, for good.
+#[test]
+fn restarting_voter_is_not_removed_for_others() {
+    for silence in [0, 500, 1_000, 1_400] {
+        let mut world = ControlWorld::start(3);
+        world.run(3 * SECOND);
+        for new in [4, 5] {
+            world.boot(HostId(new), false);
+            world.run(4 * SECOND);
+        }
+        assert!(world.replace(5, SECOND));
+        let leader = world.leader().expect("a leader");
+        assert_eq!(world.voters(leader), ids(&[1, 2, 3, 4, 5]));
+        let removed: Vec<HostId> = (1..=5).map(HostId).filter(|host| *host != leader).collect();
+        let removed = &removed[2..];
+        world.stop(removed[0]);
+        world.kill(removed[1]);
+        world.run(Duration::from_millis(silence));
+        world.stop(leader);
+        world.run(SECOND);
+        world.boot(leader, false);
+        assert!(world.replace(6, 12 * SECOND), "{leader:?} stops after {silence} ms");
+        world.run(4 * SECOND);
+        let voters = world.voters(world.leader().expect("a leader"));
+        assert_eq!(voters.len(), 3, "{voters:?}");
+        assert!(voters.contains(&leader) && removed.iter().all(|host| !voters.contains(host)));
+    }
+}
+
+/// A host that restarts while there is an even number of voters may lose its vote meanwhile,
+/// but gets it back: a disk may be lost next.
+#[test]
+fn voters_of_an_even_number_restart_in_turn() {
+    for down in [200, 1_000, 3_000] {
+        let mut world = ControlWorld::start(3);
+        world.run(3 * SECOND);
+        world.boot(HostId(4), false);
+        world.run(4 * SECOND);
+        for host in [1, 2, 3, 4] {
+            world.stop(HostId(host));
+            world.run(Duration::from_millis(down));
+            world.boot(HostId(host), false);
+            world.run(SECOND);
+        }
+        world.run(4 * SECOND);
+        let leader = world.leader().expect("a leader");
+        assert_eq!(world.voters(leader), ids(&[1, 2, 3, 4]), "down for {down} ms");
+        world.wipe(HostId(1));
+        world.run(SECOND / 2);
+        world.boot(HostId(1), false);
+        assert!(world.replace(6, 12 * SECOND), "down for {down} ms");
+    }
+}
