Refuse entries that lack a field of a database, on every edge

Announcement::is_valid is checked by every host of hawthornstackd, also for forwarded announcements, with result code 402. Ends of terms no longer overflow.

--- a/crates/decisions/src/control_state/replicated_state.rs
+++ b/crates/decisions/src/control_state/replicated_state.rs
@@ -272,7 +272,7 @@
         if let Some(record) = self.groups.get_mut(group)
             && record.highest_term() == expected
         {
-            record.phase = GroupPhase::Fencing { next_term: expected + 1, planned };
+            record.phase = GroupPhase::Fencing { next_term: expected.saturating_add(1), planned };
         }
     }
 
--- a/crates/decisions/src/directory/announcement.rs
+++ b/crates/decisions/src/directory/announcement.rs
@@ -5,6 +5,9 @@
 use super::DatabaseRole;
 use crate::identity::{DataCentre, DatabaseName, GroupName};
 
+/// Largest number that every JSON reader holds exactly.
+const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+
 /// Description of an upstream, which it sends to any host about once a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -27,3 +30,16 @@
     /// True if it is about to leave and must get no new requests.
     pub leaving: bool,
 }
+
+impl Announcement {
+    /// True if it names a database that can be used. Announcements of other writers may hold
+    /// anything.
+    pub fn is_valid(&self) -> bool {
+        let ip = self.address.ip();
+        self.address.port() > 0
+            && !(ip.is_unspecified() || ip.is_multicast())
+            && self.connections > 0
+            && self.slots > 0
+            && self.term <= MAX_EXACT_NUMBER
+    }
+}
--- a/crates/decisions/src/instances/instance_directory.rs
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -51,7 +51,7 @@
     /// Records an earlier announcement whose age is not known.
     pub fn restore(&mut self, now: Moment, record: &InstanceRecord) -> DirectoryChange {
         let id = &record.key.id;
-        if !record.is_valid() {
+        if !record.is_valid() || self.lacks_start(record) {
             return DirectoryChange::Stale;
         }
         if self.departed.get(id).is_some_and(|born| record.key.born_ms <= *born) {
@@ -174,6 +174,11 @@
             .map(|(id, born_ms)| InstanceDeparture { id: id.clone(), born_ms: Some(*born_ms) })
     }
 
+    /// True if the record states no start although databases do: it is of another writer.
+    fn lacks_start(&self, record: &InstanceRecord) -> bool {
+        record.key.born_ms == 0 && self.records().any(|known| known.key.born_ms > 0)
+    }
+
     /// Another database with the record's address.
     pub fn address_owner(&self, record: &InstanceRecord) -> Option<&InstanceRecord> {
         self.records()
--- a/crates/decisions/src/outcomes/result_code.rs
+++ b/crates/decisions/src/outcomes/result_code.rs
@@ -96,6 +96,8 @@
     AnswerTooLarge = 307, "54000", DidNotRun, "The answer of the keyed request has more than 64 KiB and cannot be kept; it was rolled back.", "Return fewer rows, or send it without a key.";
     /// The announced name belongs to a live database with another address or group.
     AnnouncedElsewhere = 401, "42710", DidNotRun, "A live database with this name is announced from another address or group.", "Stop the other one, or use a new name.";
+    /// The announcement names no database that can be used.
+    UnusableAnnouncement = 402, "22023", DidNotRun, "An address or a number in the announcement is not that of a database.", "Announce the address and the limits of a running database.";
     /// The configuration changed after the plan was made.
     PlanOutdated = 501, "40001", DidNotRun, "The configuration changed after the plan was made.", "Read what changed and make a new plan.";
     /// The plan is unknown.
--- a/crates/decisions/src/pg_host/leader_state.rs
+++ b/crates/decisions/src/pg_host/leader_state.rs
@@ -336,6 +336,10 @@
 
     pub(super) fn handle_announcement(&mut self, now: Moment, announcement: Announcement) {
         let database = announcement.database.clone();
+        if !announcement.is_valid() {
+            let result = ResultCode::UnusableAnnouncement;
+            return self.effects.push(HostEffect::AnnouncementRefused { database, result });
+        }
         let known = self
             .control
             .group_of(&database)
--- a/crates/decisions/tests/instance_directory.rs
+++ b/crates/decisions/tests/instance_directory.rs
@@ -163,6 +163,10 @@
         odd(|record| record.data_centre = Arc::from(" ")),
         odd(|record| record.slots = 0),
         odd(|record| record.key.born_ms = u64::MAX),
+        odd(|record| {
+            record.key.born_ms = 0;
+            record.address.set_port(81);
+        }),
         odd(|record| record.sequence = u64::MAX),
     ];
     for odd in records {
--- a/crates/decisions/tests/plan_answers.rs
+++ b/crates/decisions/tests/plan_answers.rs
@@ -1,38 +1,19 @@
 //! When operators are answered, on the only voter of a deployment.
 
-use std::{net::SocketAddr, time::Duration};
+mod host_settings;
+
+use std::time::Duration;
 
 use hawthornstack_decisions::{
     clock::Moment,
-    control_state::{HostRecord, Intent},
-    identity::{DataCentre, HostId},
-    pg_host::{HostEffect, HostEvent, HostSettings, HostState, OperatorAnswer, OperatorQuestion},
+    control_state::Intent,
+    identity::HostId,
+    pg_host::{HostEffect, HostEvent, HostState, OperatorAnswer, OperatorQuestion},
 };
+use host_settings::settings;
 
 const TICK: Duration = Duration::from_millis(10);
 
-fn settings() -> HostSettings {
-    let address = SocketAddr::from(([10, 0, 0, 2], 7_000));
-    HostSettings {
-        record: HostRecord {
-            id: HostId(1),
-            peer_address: address,
-            caller_address: address,
-            data_centre: DataCentre::new("tx-1").unwrap(),
-            draining: false,
-        },
-        voters: [HostId(1)].into(),
-        lease_duration: Duration::from_millis(600),
-        lease_renewal: Duration::from_millis(150),
-        suspect_after: Duration::from_millis(400),
-        stall_after: Duration::from_millis(1_500),
-        gateways_per_group: 3,
-        election_timeout: Duration::from_millis(300),
-        heartbeat_interval: Duration::from_millis(50),
-        seed: 1,
-    }
-}
-
 /// Events for the next step: all records of these effects are synced.
 fn synced(effects: &[HostEffect]) -> Vec<HostEvent> {
     let persisted = effects.iter().filter_map(|effect| match effect {
