Forget databases of unknown services once control knows the configured ones

A control host that has just started does not know which services are configured. An entry of another writer with a later start could take the address or the id of a database from it in that time; if the host became the leader, the database was removed from its service, and its own announcements were refused until the entry had expired. Entry hosts were sent the entry too.

Cause: the check for services that are not configured needs the configuration, which a restarted host applies only after it has heard of the last commit.

Change: when a host learns its first configuration it forgets databases of other services, and restores those of the replicated state. A leader without configuration sends entry hosts no databases; the tests of the feed now start with a configuration.

The check of addresses and numbers stood in both kinds of announcements; it is one now.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -330,6 +330,7 @@
             }
             EntryPayload::Command(command) => {
                 let replaced = self.control.routes.clone();
+                let knew_services = replaced.is_some();
                 self.control.apply(index, &command);
                 if let Some(table) = replaced
                     && table.version < self.control.routes_version()
@@ -337,6 +338,9 @@
                     self.route_feed.record_replaced(table);
                 }
                 self.record_applied(now, index, &command);
+                if !knew_services {
+                    self.forget_unconfigured_databases(now);
+                }
                 self.answer_orders(index);
             }
         }
@@ -399,10 +403,14 @@
 
     fn install_snapshot(&mut self, now: Moment, snapshot: StateSnapshot) {
         snapshot.voters.iter().for_each(|voter| self.add_peer(*voter));
+        let knew_services = self.control.routes.is_some();
         self.control = snapshot.state;
         self.entry_state_index = self.control.applied;
         self.term_history = TermHistory::starting_at(self.control.applied);
         self.restore_instances(now);
+        if !knew_services {
+            self.forget_unconfigured_databases(now);
+        }
         self.request_state_feed(now);
     }
 
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -77,6 +77,17 @@
         }
     }
 
+    /// Forgets databases of services that are not configured, once this host knows which are:
+    /// until then such an entry may have taken the address or the id of a database.
+    pub(super) fn forget_unconfigured_databases(&mut self, now: Moment) {
+        let Some(table) = self.control.routes.clone() else {
+            return;
+        };
+        if self.directory.retain_services(|service| table.service(service).is_some()) {
+            self.restore_instances(now);
+        }
+    }
+
     /// Records a departure announced to this host and forwards it.
     pub(super) fn handle_departure(&mut self, now: Moment, departure: InstanceDeparture) {
         if self.directory.record_departure(&departure) {
--- a/crates/decisions/src/control_role/instance_feed.rs
+++ b/crates/decisions/src/control_role/instance_feed.rs
@@ -78,7 +78,7 @@
     /// serves nothing; they keep the time up to which the leader has sent it all.
     pub(super) fn send_missing_instances(&mut self, now: Moment, host: HostId) {
         let other_leader = self.leader_elsewhere();
-        let is_leader = self.agreement.is_leader();
+        let sends = self.sends_instances();
         let Some(entry) = self.entry_hosts.get_mut(&host) else {
             return;
         };
@@ -86,7 +86,7 @@
             entry.instances_until = entry.instances_until.max(Some(now - LEADER_SILENCE));
         }
         let until = entry.instances_until;
-        if !is_leader || until >= Some(self.instance_feed.batched_at) {
+        if !sends || until >= Some(self.instance_feed.batched_at) {
             return;
         }
         let changed = until.and_then(|until| self.instance_feed.recent.since(now, until));
@@ -100,6 +100,13 @@
         }
     }
 
+    /// True if entry hosts learn of databases from this host: the leader, once it knows which
+    /// services are configured. Until then an entry of another writer may stand in the place
+    /// of a database.
+    fn sends_instances(&self) -> bool {
+        self.agreement.is_leader() && self.control.routes.is_some()
+    }
+
     /// Sends all databases as they were packed last; returns those that changed since.
     fn send_directory(&mut self, now: Moment, host: HostId) -> BTreeSet<Arc<str>> {
         let packed = self.instance_feed.directory.take();
@@ -123,7 +130,7 @@
         }
         let changed = std::mem::take(&mut self.instance_feed.unsent);
         let earlier = std::mem::replace(&mut self.instance_feed.batched_at, now);
-        if !self.agreement.is_leader() {
+        if !self.sends_instances() {
             return;
         }
         let records = SharedRecords::new(self.known_instances(&changed));
--- a/crates/decisions/src/directory/announcement.rs
+++ b/crates/decisions/src/directory/announcement.rs
@@ -3,10 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::DatabaseRole;
-use crate::identity::{DataCentre, DatabaseName, GroupName};
-
-/// Largest number that every JSON reader holds exactly.
-const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+use crate::identity::{DataCentre, DatabaseName, GroupName, is_exact_number, is_reachable_address};
 
 /// Description of an upstream, which it sends to any host about once a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,11 +32,9 @@
     /// True if it names a database that can be used. Announcements of other writers may hold
     /// anything.
     pub fn is_valid(&self) -> bool {
-        let ip = self.address.ip();
-        self.address.port() > 0
-            && !(ip.is_unspecified() || ip.is_multicast())
+        is_reachable_address(self.address)
             && self.connections > 0
             && self.slots > 0
-            && self.term <= MAX_EXACT_NUMBER
+            && is_exact_number(self.term)
     }
 }
--- a/crates/decisions/src/instances/instance_directory.rs
+++ b/crates/decisions/src/instances/instance_directory.rs
@@ -127,6 +127,13 @@
         silent
     }
 
+    /// Removes the databases of other services; true if there were any.
+    pub fn retain_services(&mut self, is_configured: impl Fn(&str) -> bool) -> bool {
+        let count = self.instances.len();
+        self.instances.retain(|_, known| is_configured(&known.record.service));
+        self.instances.len() < count
+    }
+
     /// The newest start of a database id.
     pub fn get(&self, id: &str) -> Option<&InstanceRecord> {
         self.instances.get(id).map(|known| &known.record)
--- a/crates/decisions/src/instances/instance_record.rs
+++ b/crates/decisions/src/instances/instance_record.rs
@@ -2,10 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::identity::{is_exact_number, is_reachable_address};
+
 /// Longest id, service or data centre of a database, in bytes.
 const MAX_WORD_BYTES: usize = 255;
-/// Largest number that every JSON reader holds exactly.
-const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
 /// Most by which the clock of a database may be ahead, in milliseconds: one day. A start later
 /// than that would take addresses from databases for good.
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1_000;
@@ -69,12 +69,10 @@
     /// may hold anything.
     pub fn is_valid(&self) -> bool {
         let words = [&self.key.id, &self.service, &self.data_centre];
-        let ip = self.address.ip();
         words.into_iter().all(|word| is_word(word))
-            && self.address.port() > 0
-            && !(ip.is_unspecified() || ip.is_multicast())
+            && is_reachable_address(self.address)
             && self.slots > 0
-            && self.sequence.max(self.key.born_ms) <= MAX_EXACT_NUMBER
+            && is_exact_number(self.sequence.max(self.key.born_ms))
     }
 
     /// True if both are equal apart from the sequence number. Data centre and
--- a/crates/decisions/tests/instance_feed.rs
+++ b/crates/decisions/tests/instance_feed.rs
@@ -26,6 +26,13 @@
     InstanceRecord { draining: sequence > 1, sequence, ..record }
 }
 
+/// Control with a configuration, without which no databases are sent, and its leader.
+fn configured_world() -> (ControlWorld, HostId) {
+    let (mut world, leader) = ControlWorld::start_with_leader();
+    assert!(world.replace(5, SECOND));
+    (world, leader)
+}
+
 fn renew(world: &mut ControlWorld, at: HostId, follows: Option<HostId>) {
     let report = renewal(world.now, 0, 0, follows);
     world.handle_event(at, ControlEvent::Entry(ENTRY, report));
@@ -34,7 +41,7 @@
 /// An entry host that is linked to all control hosts and follows the leader, which is
 /// returned with another control host.
 fn world_with_follower() -> (ControlWorld, HostId, HostId) {
-    let (mut world, leader) = ControlWorld::start_with_leader();
+    let (mut world, leader) = configured_world();
     let other = CONTROL_HOSTS.into_iter().find(|host| *host != leader).expect("a follower");
     for host in CONTROL_HOSTS {
         world.handle_event(host, ControlEvent::EntryLinked(ENTRY, EntryHello::default()));
@@ -147,7 +154,7 @@
 /// and for each entry host.
 #[test]
 fn directory_is_packed_once_at_a_start() {
-    let (mut world, leader) = ControlWorld::start_with_leader();
+    let (mut world, leader) = configured_world();
     // Real disks sync the records that have gathered together.
     world.hosts.values_mut().for_each(|host| host.sync_time = SECOND / 100_000);
     for number in 0..700 {
@@ -179,7 +186,7 @@
 }
 
 fn world_with_databases() -> (ControlWorld, HostId) {
-    let (mut world, leader) = ControlWorld::start_with_leader();
+    let (mut world, leader) = configured_world();
     for number in 0..20 {
         world.announce(leader, &replica(number, 1));
     }
