Let databases of configured services take the place of odd entries

An entry of a service that is not configured, with the address and a later start than those of a database, kept that database out if it came first: the database's own announcements were refused until the entry had expired, for as long as it was repeated.

Cause: such an entry was refused only if the database was known already; an address belongs to the latest start.

Change: a record of a configured service displaces those of other services that have its id or address, on every control host and from the log, and entry hosts are told to forget them.

Measured: odd_record_keeps_no_database_out fails without the change; all tests of decisions passed with it.

--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -13,6 +13,7 @@
             self.effects.push(ControlEffect::Log(event));
             return;
         }
+        self.displace_unnamed_databases(&record);
         match self.directory.record_announcement(now, &record) {
             DirectoryChange::Stale => {}
             DirectoryChange::Refreshed => {
@@ -34,21 +35,51 @@
     /// True if the record's service is not configured and its id or address is that of a
     /// database whose service is: another writer's announcement does not replace it.
     fn displaces_named_database(&self, record: &InstanceRecord) -> bool {
-        let Some(table) = &self.control.routes else {
-            return false;
-        };
-        let is_named = |known: &InstanceRecord| table.service(&known.service).is_some();
-        if is_named(record) {
-            return false;
+        let mut known = self.databases_in_place_of(record);
+        self.control.routes.is_some()
+            && !self.is_named(record)
+            && known.any(|known| self.is_named(known))
+    }
+
+    /// Forgets databases of services that are not configured if they have the id or the address
+    /// of this one, whose service is: with later starts they would keep it out.
+    fn displace_unnamed_databases(&mut self, record: &InstanceRecord) {
+        if !self.is_named(record) {
+            return;
+        }
+        let unnamed: Vec<InstanceDeparture> = self
+            .databases_in_place_of(record)
+            .filter(|known| !self.is_named(known))
+            .map(|known| InstanceDeparture {
+                id: known.key.id.clone(),
+                born_ms: Some(known.key.born_ms),
+            })
+            .collect();
+        if !unnamed.is_empty() {
+            unnamed.iter().for_each(|departure| self.directory.remove(departure));
+            self.broadcast_removal(EntryUpdate::Expired(unnamed));
         }
+    }
+
+    /// True if the record's service is configured, as far as this host knows.
+    fn is_named(&self, record: &InstanceRecord) -> bool {
+        let table = self.control.routes.as_ref();
+        table.is_some_and(|table| table.service(&record.service).is_some())
+    }
+
+    /// Known databases with the id or the address of the record.
+    fn databases_in_place_of(
+        &self,
+        record: &InstanceRecord,
+    ) -> impl Iterator<Item = &InstanceRecord> {
         let same_id = self.directory.get(&record.key.id);
-        let same_address = self.directory.address_owner(record);
-        same_id.is_some_and(is_named) || same_address.is_some_and(is_named)
+        same_id.into_iter().chain(self.directory.address_owner(record))
     }
 
     pub(super) fn apply_announcements(&mut self, now: Moment, mut records: Vec<InstanceRecord>) {
         records.retain(|record| !self.displaces_named_database(record));
         records.retain(|record| {
+            self.displace_unnamed_databases(record);
             self.directory.record_announcement(now, record) == DirectoryChange::Changed
         });
         if self.gather_changed_instances(now, &records) {
@@ -63,7 +94,10 @@
         now: Moment,
         mut records: Vec<InstanceRecord>,
     ) -> bool {
-        records.retain(|record| self.directory.restore(now, record) == DirectoryChange::Changed);
+        records.retain(|record| {
+            self.displace_unnamed_databases(record);
+            self.directory.restore(now, record) == DirectoryChange::Changed
+        });
         self.gather_changed_instances(now, &records)
     }
 
