Hold the limit of 1 MiB for each message of the line protocol

A caller's message of 1.4 MB was run, and one of 2 MB closed the session without an answer, so that its caller could not know that nothing had run.

Cause: LineStream compared its buffer with the limit only before a read and only while no line was complete. A read takes what the buffer has room for, which doubles, so that up to almost 2 MiB could become complete in one read.

Change: each line is compared when it is taken from the buffer, on every link of the protocol, and a stream with a line that is too long fails from then on.

--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -80,7 +80,7 @@
         link.run_command(command, &mut out).await?;
         // Statements that restore the session arrive together with the statement
         // that needs them; all are answered at once.
-        while let Some(line) = lines.take_buffered_line() {
+        while let Some(line) = lines.take_buffered_line()? {
             let command = shared.upstreams.decode_forwarded(&line).map_err(io::Error::other)?;
             link.run_command(command, &mut out).await?;
         }
@@ -143,7 +143,7 @@
     loop {
         let changed = shared.changed.notified();
         if shared.should_close_session(is_idle) {
-            return Ok(lines.take_buffered_line());
+            return Ok(lines.take_buffered_line()?);
         }
         tokio::select! {
             biased;
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -12,21 +12,30 @@
 };
 use crate::{
     edges::{CallerRefusal, CallerRequest, SessionPhase},
-    links::{LineStream, prepare_socket},
+    links::{LineStream, LineTooLong, prepare_socket},
 };
 
 /// Time for a caller to send its connect request.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a connect request waits for this host's first configuration.
 const ROUTES_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for a caller to close its connection after a message that is too long. What it
+/// still sends meanwhile is read, as closing would else reset the connection before the
+/// caller has read the refusal.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time that sent data may stay unacknowledged before a caller counts as gone.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// What the caller of a message that exceeds the protocol's limit is told.
+const TOO_LONG_HINT: &str = "the message is longer than 1 MiB";
+
 /// What a session does next.
 enum SessionStep {
     Message(Bytes),
     /// The caller's key was removed or moved to another workspace.
     RefuseKey,
+    /// The message exceeds the protocol's limit; nothing after it can be read.
+    RefuseLength,
     /// The caller is gone, or this host's shutdown closes the session.
     Close,
 }
@@ -63,6 +72,11 @@
                 encode_refused(shared, &mut out, reply);
                 return lines.send(&out).await;
             }
+            SessionStep::RefuseLength => {
+                session.fail_transaction();
+                refuse_malformed(shared, &mut out, TOO_LONG_HINT, &session);
+                return send_last(lines, &out).await;
+            }
             SessionStep::Close => return Ok(()),
         };
         match shared.callers.decode_request(&line) {
@@ -95,8 +109,16 @@
     let Ok(first) = timeout(CONNECT_TIMEOUT, lines.next_line()).await else {
         return Ok(None);
     };
-    let Some(line) = first? else {
-        return Ok(None);
+    let line = match first {
+        Ok(Some(line)) => line,
+        Ok(None) => return Ok(None),
+        Err(error) if LineTooLong::caused(&error) => {
+            shared.callers.encode_refusal(out, CallerRefusal::Malformed, TOO_LONG_HINT);
+            send_last(lines, out).await?;
+            out.clear();
+            return Ok(None);
+        }
+        Err(error) => return Err(error),
     };
     let (database, key) = match shared.callers.decode_request(&line) {
         Ok(CallerRequest::Connect { database, key }) => (database, key),
@@ -134,6 +156,14 @@
     }
 }
 
+/// Sends the last message of a connection, and waits for the caller to close it.
+async fn send_last(lines: &mut LineStream, out: &[u8]) -> io::Result<()> {
+    lines.send(out).await?;
+    // Without an answer in time the connection is closed by dropping it.
+    let _ = timeout(CLOSE_TIMEOUT, lines.close()).await;
+    Ok(())
+}
+
 /// Appends a refusal that ends the session.
 fn encode_refused(shared: &EntryShared, out: &mut Vec<u8>, reply: CallerReply) {
     if let CallerReply::Refused(refusal, hint) = reply {
@@ -161,19 +191,24 @@
     lines: &mut LineStream,
     session: &mut CallerSession,
 ) -> io::Result<SessionStep> {
-    let to_step = |line: Option<Bytes>| line.map_or(SessionStep::Close, SessionStep::Message);
+    let to_step = |line: io::Result<Option<Bytes>>| match line {
+        Ok(Some(line)) => Ok(SessionStep::Message(line)),
+        Ok(None) => Ok(SessionStep::Close),
+        Err(error) if LineTooLong::caused(&error) => Ok(SessionStep::RefuseLength),
+        Err(error) => Err(error),
+    };
     let idle_timer = IdleTimer::start(session);
     loop {
         let changed = shared.changed.notified();
         if shared.should_close_session(session.is_idle()) {
-            return Ok(to_step(lines.take_buffered_line()));
+            return to_step(lines.take_buffered_line().map_err(io::Error::from));
         }
         if session.must_end() {
             return Ok(SessionStep::RefuseKey);
         }
         tokio::select! {
             biased;
-            line = lines.next_line() => return line.map(to_step),
+            line = lines.next_line() => return to_step(line),
             () = idle_timer.wait_for_end(session), if session.pinned.is_some() => {
                 session.end_idle_transaction();
             }
--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -272,6 +272,13 @@
     /// Rolls back a transaction that waited too long for its next statement.
     pub(super) fn end_idle_transaction(&mut self) {
         if self.pinned.is_some() {
+            self.fail_transaction();
+        }
+    }
+
+    /// Rolls back the open transaction, if there is one.
+    pub(super) fn fail_transaction(&mut self) {
+        if !self.is_idle() {
             self.state.transaction = TransactionPhase::Failed;
             self.roll_back();
         }
--- a/crates/daemon/src/links/line_stream.rs
+++ b/crates/daemon/src/links/line_stream.rs
@@ -7,7 +7,7 @@
     net::TcpStream,
 };
 
-/// Longest line, in bytes: the protocol's limit for one message.
+/// Longest line, in bytes without its CR LF: the protocol's limit for one message.
 pub const MAX_LINE_BYTES: usize = 1024 * 1024;
 /// Smallest buffer space for one read, in bytes: most messages fit.
 const READ_BYTES: usize = 2 * 1024;
@@ -17,6 +17,19 @@
 #[snafu(display("a line is longer than {MAX_LINE_BYTES} bytes"))]
 pub struct LineTooLong;
 
+impl LineTooLong {
+    /// True if this is the cause of an error of a [`LineStream`].
+    pub fn caused(error: &io::Error) -> bool {
+        error.get_ref().is_some_and(|cause| cause.is::<Self>())
+    }
+}
+
+impl From<LineTooLong> for io::Error {
+    fn from(error: LineTooLong) -> Self {
+        Self::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
 /// A connection whose messages are lines that end with CR LF. A CR or LF alone is part of
 /// the line.
 #[derive(Debug)]
@@ -37,15 +50,12 @@
     /// connection. A line that the close left incomplete is dropped. Cancel safe.
     ///
     /// # Errors
-    /// The system's error; [`LineTooLong`] as `InvalidData`.
+    /// The system's error; [`LineTooLong`] as `InvalidData`, also for each further call.
     pub async fn next_line(&mut self) -> io::Result<Option<Bytes>> {
         loop {
-            if let Some(line) = self.take_buffered_line() {
+            if let Some(line) = self.take_buffered_line()? {
                 return Ok(Some(line));
             }
-            if self.buffer.len() > MAX_LINE_BYTES {
-                return Err(io::Error::new(io::ErrorKind::InvalidData, LineTooLong));
-            }
             self.buffer.reserve(READ_BYTES);
             if self.stream.read_buf(&mut self.buffer).await? == 0 {
                 return Ok(None);
@@ -55,19 +65,30 @@
 
     /// Removes the next complete line from the buffer, if there is one; does not
     /// read from the connection.
-    pub fn take_buffered_line(&mut self) -> Option<Bytes> {
+    ///
+    /// # Errors
+    /// [`LineTooLong`], also for each further call: the rest of a line that is too long
+    /// must not pass for lines of its own.
+    pub fn take_buffered_line(&mut self) -> Result<Option<Bytes>, LineTooLong> {
         while let Some(offset) = self.buffer[self.scanned..].iter().position(|b| *b == b'\n') {
             let end = self.scanned + offset;
             if self.buffer[..end].ends_with(b"\r") {
+                if end - 1 > MAX_LINE_BYTES {
+                    return Err(LineTooLong);
+                }
                 self.scanned = 0;
                 let mut line = self.buffer.split_to(end + 1).freeze();
                 line.truncate(end - 1);
-                return Some(line);
+                return Ok(Some(line));
             }
             self.scanned = end + 1;
         }
         self.scanned = self.buffer.len();
-        None
+        // The last byte may be the CR that ends the line.
+        if self.buffer.len() > MAX_LINE_BYTES + 1 {
+            return Err(LineTooLong);
+        }
+        Ok(None)
     }
 
     /// Sends all of `bytes`, which must bring their line endings.
@@ -85,6 +106,7 @@
     /// The system's error.
     pub async fn close(&mut self) -> io::Result<()> {
         self.stream.shutdown().await?;
+        self.scanned = 0;
         loop {
             self.buffer.clear();
             self.buffer.reserve(READ_BYTES);
