Keep statements within the limit with what a host adds to them

Reads of almost 1 MiB made databases close the connection and count as unreachable, and prepared statements of that size were answered INDOUBT though nothing had run.

Cause: a host sends a position ahead of a read at a replica or gateway, and gives a prepared statement a name of its own. Nothing compared the longer message with the limit.

Change: MessageRoom compares statements near the limit as they would be sent. A read without room for a position runs at the primary; what has no room for the longest name is refused as MALFORMED before anything is sent.

--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -12,6 +12,7 @@
     caller_admission::StatementCaller,
     caller_reply::{CUT_OFF_HINT, CallerReply},
     entry_shared::EntryShared,
+    message_room::MessageRoom,
     pool_overload::OVERLOADED,
     refused_operation::RefusedOperation,
     request_trace::{RequestTrace, TraceEnd, TraceStep},
@@ -127,6 +128,10 @@
             _ if failed => {
                 CallerReply::Refused(CallerRefusal::Malformed, "the transaction failed; end it")
             }
+            _ if self.room_beside(statement) == MessageRoom::TooLong => {
+                let hint = "the statement has no room for its name at the database";
+                CallerReply::Refused(CallerRefusal::Malformed, hint)
+            }
             StatementAction::Begin { read_only } => self.defer_begin(*read_only),
             StatementAction::Commit if self.is_idle() => {
                 CallerReply::Refused(CallerRefusal::Malformed, "no transaction is open")
@@ -150,6 +155,10 @@
         }
     }
 
+    fn room_beside(&self, statement: &CallerStatement) -> MessageRoom {
+        MessageRoom::beside(statement, &*self.shared.upstreams)
+    }
+
     /// Marks the transaction as begun; the database gets BEGIN with its first
     /// statement.
     fn defer_begin(&mut self, read_only: bool) -> CallerReply {
@@ -279,13 +288,14 @@
     ) -> CallerReply {
         let writes = self.is_write(statement);
         let caller = self.caller.clone();
+        let needs_primary = writes || self.room_beside(statement) != MessageRoom::Any;
         let limits = RunLimits {
             route,
             caller: &caller,
             arrived,
             deadline,
-            needs_primary: writes,
-            may_reroute: !writes && route.kind != RouteKind::Primary,
+            needs_primary,
+            may_reroute: !needs_primary && route.kind != RouteKind::Primary,
             writes,
             forwarded: self.forwarded_route.is_some(),
             last_commit: self.state.last_commit,
--- a/crates/daemon/src/entry_role/mod.rs
+++ b/crates/daemon/src/entry_role/mod.rs
@@ -13,6 +13,7 @@
 mod forward_task;
 mod forwarded_reads;
 mod idle_timer;
+mod message_room;
 mod pool_overload;
 mod pool_target;
 mod pool_waiters;
--- a/crates/decisions/src/entry_role/connection_state.rs
+++ b/crates/decisions/src/entry_role/connection_state.rs
@@ -57,6 +57,11 @@
         steps
     }
 
+    /// The longest name that a connection gives a prepared statement.
+    pub fn longest_name() -> Arc<str> {
+        name_of(MAX_PREPARED)
+    }
+
     /// The connection's name for a prepared statement, and the step that
     /// prepares it if it is new.
     pub fn prepared_name(
@@ -66,9 +71,14 @@
         if let Some(name) = self.prepared.get(prepared) {
             return (name.clone(), None);
         }
-        let name: Arc<str> = Arc::from(format!("p{}", self.prepared.len()));
+        let name = name_of(self.prepared.len());
         self.prepared.insert(prepared.clone(), name.clone());
         let step = RestoreStep::Prepare { name: name.clone(), prepared: prepared.clone() };
         (name, Some(step))
     }
 }
+
+/// Name of the prepared statement with this number on a connection.
+fn name_of(number: usize) -> Arc<str> {
+    Arc::from(format!("p{number}"))
+}
