Refuse configurations that fit into no frame between control hosts

Cause: a log entry is sent in one frame of at most 16 MiB and holds the operator's text beside the decoded routes, which can take twice as much again. The frame could not be encoded, the link was opened anew, and the same entry was tried again.

--- a/crates/decisions/src/packing/compression.rs
+++ b/crates/decisions/src/packing/compression.rs
@@ -18,6 +18,30 @@
     encoder.finish()
 }
 
+/// Length of a value once it is encoded, in bytes.
+///
+/// # Errors
+/// Fails if the value cannot be encoded.
+pub(crate) fn encoded_len(value: &impl Serialize) -> io::Result<usize> {
+    let mut counter = ByteCounter(0);
+    ciborium::into_writer(value, &mut counter).map_err(io::Error::other)?;
+    Ok(counter.0)
+}
+
+/// Counts the bytes that are written.
+struct ByteCounter(usize);
+
+impl Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Decompresses and decodes a value.
 ///
 /// # Errors
--- a/crates/decisions/src/routes/route_table.rs
+++ b/crates/decisions/src/routes/route_table.rs
@@ -8,7 +8,15 @@
 use snafu::Snafu;
 
 use super::{RouteRule, ServiceRule, TrafficLimits, WorkspaceRule};
-use crate::identity::CallerKey;
+use crate::{identity::CallerKey, packing::encoded_len};
+
+/// Largest encoded configuration, in bytes. Control hosts send each other a log entry, or
+/// a snapshot of the state with up to 10,000 audit records, in one frame of at most
+/// 16 MiB; an entry that fits into no frame would never be committed, nor any after it.
+const MAX_ENCODED_BYTES: usize = 10 * 1024 * 1024;
+/// Length of the operator's text, in bytes, up to which the encoded configuration is
+/// certainly smaller than the limit.
+const SHORT_SOURCE_BYTES: usize = 128 * 1024;
 
 /// Why a configuration was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -44,6 +52,15 @@
         /// The workspace.
         workspace: Arc<str>,
     },
+    /// The configuration is too large to be sent between control hosts.
+    #[snafu(display(
+        "the configuration takes {bytes} bytes between hosts, and may take {MAX_ENCODED_BYTES}; \
+         leave out routes"
+    ))]
+    TooLarge {
+        /// Its encoded size in bytes.
+        bytes: usize,
+    },
     /// Two workspaces have the same name.
     #[snafu(display("two workspaces have the name {workspace}; rename one"))]
     DuplicateWorkspace {
@@ -134,7 +151,19 @@
                 return Err(RouteError::DuplicatePath { database, path });
             }
         }
-        check_workspaces(self.workspaces.as_deref().unwrap_or_default())
+        check_workspaces(self.workspaces.as_deref().unwrap_or_default())?;
+        self.check_size()
+    }
+
+    /// Checks that control hosts can send each other the configuration.
+    fn check_size(&self) -> Result<(), RouteError> {
+        if self.source.len() <= SHORT_SOURCE_BYTES {
+            return Ok(());
+        }
+        match encoded_len(self).unwrap_or(usize::MAX) {
+            0..=MAX_ENCODED_BYTES => Ok(()),
+            bytes => Err(RouteError::TooLarge { bytes }),
+        }
     }
 
     /// The route of a database name.
