--- a/crates/daemon/src/journal/journal_file.rs
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -5,7 +5,7 @@
     path::{Path, PathBuf},
 };
 
-use hawthornstack_decisions::agreement::JournalRecord;
+use hawthornstack_decisions::agreement::{JournalRecord, LogEntry, StateSnapshot};
 use snafu::ResultExt;
 
 use crate::kernel::{
@@ -153,24 +153,34 @@
     Ok(file)
 }
 
-/// Keeps the newest hard state, the newest snapshot and the entries after it.
+/// Keeps the newest hard state, the newest snapshot and the entries after it that are part
+/// of the same log. An entry that another leader's snapshot or entry has replaced must not
+/// come back: it has an older term, so that the host would vote for leaders that lack what
+/// is committed.
 fn compact_records(records: Vec<JournalRecord>) -> Vec<JournalRecord> {
     let mut hard = None;
-    let mut snapshot = None;
-    let mut entries = Vec::new();
+    let mut snapshot: Option<Box<StateSnapshot>> = None;
+    let mut entries: Vec<LogEntry> = Vec::new();
     for record in records {
         match record {
             JournalRecord::Hard(state) => hard = Some(state),
-            JournalRecord::Snapshot(newer) => snapshot = Some(newer),
-            JournalRecord::Entry(entry) => entries.push(entry),
+            JournalRecord::Entry(entry) => {
+                entries.truncate(entries.partition_point(|kept| kept.index < entry.index));
+                entries.push(entry);
+            }
+            JournalRecord::Snapshot(newer) => {
+                let is_last = |index, term| (index, term) == (newer.index, newer.term);
+                let continues = entries.iter().any(|kept| is_last(kept.index, kept.term))
+                    || snapshot.as_ref().is_some_and(|older| is_last(older.index, older.term));
+                entries.retain(|kept| continues && kept.index > newer.index);
+                snapshot = Some(newer);
+            }
         }
     }
-    let kept_after = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-    let entries = entries.into_iter().filter(|entry| entry.index > kept_after);
     hard.map(JournalRecord::Hard)
         .into_iter()
         .chain(snapshot.map(JournalRecord::Snapshot))
-        .chain(entries.map(JournalRecord::Entry))
+        .chain(entries.into_iter().map(JournalRecord::Entry))
         .collect()
 }
 
--- a/crates/daemon/tests/journal_damage.rs
+++ b/crates/daemon/tests/journal_damage.rs
@@ -35,6 +35,12 @@
     JournalRecord::Entry(LogEntry { index, term: 1, payload })
 }
 
+fn snapshot(index: u64, term: u64) -> JournalRecord {
+    let voters = [HostId(1), HostId(2), HostId(3)].into();
+    let state = ControlState::default();
+    JournalRecord::Snapshot(Box::new(StateSnapshot { index, term, voters, state }))
+}
+
 fn records() -> Vec<JournalRecord> {
     let hard = HardState { term: 3, voted_for: Some(HostId(2)), eligible: true, incarnation: 9 };
     vec![JournalRecord::Hard(hard), entry(1), entry(2), entry(3)]
@@ -113,13 +119,7 @@
     let folder = TempFolder::new("snapshot");
     let before = write_journal(&folder).len();
     let (mut file, _) = JournalFile::open(&folder.0).unwrap();
-    let snapshot = StateSnapshot {
-        index: 2,
-        term: 1,
-        voters: [HostId(1), HostId(2), HostId(3)].into(),
-        state: ControlState::default(),
-    };
-    let snapshot = JournalRecord::Snapshot(Box::new(snapshot));
+    let snapshot = snapshot(2, 1);
     file.append(std::slice::from_ref(&snapshot)).unwrap();
     file.append(&[entry(4)]).unwrap();
     drop(file);
@@ -127,3 +127,41 @@
     assert_eq!(found, vec![records()[0].clone(), snapshot, entry(3), entry(4)]);
     assert_ne!(std::fs::read(folder.file()).unwrap().len(), before);
 }
+
+/// Entries that another leader's snapshot has replaced came back with the next start. With their
+/// old term at the end of its log the host would vote for a leader that lacks committed entries.
+#[test]
+fn replaced_entries_stay_away() {
+    for (replacing, expected) in [
+        // Of another log: nothing after it is left.
+        (snapshot(2, 2), vec![snapshot(2, 2)]),
+        (snapshot(9, 2), vec![snapshot(9, 2)]),
+        // Of the same log.
+        (snapshot(2, 1), vec![snapshot(2, 1), entry(3)]),
+        (snapshot(3, 1), vec![snapshot(3, 1)]),
+    ] {
+        let folder = TempFolder::new("replaced");
+        write_journal(&folder);
+        let (mut file, _) = JournalFile::open(&folder.0).unwrap();
+        file.append(&[replacing]).unwrap();
+        drop(file);
+        let (mut file, found) = JournalFile::open(&folder.0).unwrap();
+        assert_eq!(found, [&records()[..1], &expected].concat());
+        // The same snapshot again, as after a crash before its answer, changes nothing.
+        file.append(&expected[..1]).unwrap();
+        let (_, again) = JournalFile::open(&folder.0).unwrap();
+        assert_eq!(again, found);
+    }
+}
+
+/// An entry replaces those at and after its index, also in the rewritten file.
+#[test]
+fn overwritten_entries_stay_away() {
+    let folder = TempFolder::new("overwritten");
+    write_journal(&folder);
+    let (mut file, _) = JournalFile::open(&folder.0).unwrap();
+    file.append(&[entry(2), snapshot(1, 1)]).unwrap();
+    drop(file);
+    let (_, found) = JournalFile::open(&folder.0).unwrap();
+    assert_eq!(found, [&records()[..1], &[snapshot(1, 1), entry(2)]].concat());
+}
