Run no forwarded statement without the session state sent with it

A gateway of hawthornstackd that refused a session's state ran the statement with the state of the session before it, so that a read could be older than the session's own writes.

Cause: the statement follows the SET in the same message, and neither side looked at the answer to the SET.

Change: until a state is accepted the gateway refuses statements of that connection as not run, and the other host tries the next gateway. A BEGIN whose state was refused opens no transaction.

Entry and control hosts do not use this code.

--- a/crates/daemon/src/pg_callers/caller_session.rs
+++ b/crates/daemon/src/pg_callers/caller_session.rs
@@ -317,6 +317,7 @@
         writes: bool,
     ) -> Result<StatementOutcome, CallerError> {
         match self.transaction {
+            _ if self.state.lacks_forwarded => Ok(self.write_failure(ResultCode::NoDatabase)),
             TransactionState::Idle => Ok(self.run_autocommit(work, sql, writes).await),
             TransactionState::Failed => Ok(self.write_failure(ResultCode::TransactionLost)),
             TransactionState::Begun { .. } | TransactionState::Open(_) => {
@@ -469,7 +470,7 @@
     let session = SessionId::new(&format!("s-{:016x}", rand::random::<u64>()))
         .map_err(|error| CallerError::Protocol { text: error.to_string() })?;
     let mut state = CallerState::new(group, session, &user);
-    state.forwarded = parameters.contains_key(FORWARD_PARAMETER);
+    state.expect_forwarded(parameters.contains_key(FORWARD_PARAMETER));
     let options = parameters.get("options").map(String::as_str).unwrap_or_default();
     let in_options = options
         .split_whitespace()
--- a/crates/daemon/src/pg_callers/caller_state.rs
+++ b/crates/daemon/src/pg_callers/caller_state.rs
@@ -55,6 +55,9 @@
     pub(super) timeout: Duration,
     /// The caller is another host that forwards requests.
     pub(super) forwarded: bool,
+    /// That host has sent no state, or the last one was refused: its statements must not
+    /// run with an earlier one.
+    pub(super) lacks_forwarded: bool,
     pub(super) prepared: HashMap<String, PreparedStatement>,
 }
 
@@ -77,10 +80,17 @@
             request_key: None,
             timeout: DEFAULT_TIMEOUT,
             forwarded: false,
+            lacks_forwarded: false,
             prepared: HashMap::new(),
         }
     }
 
+    /// Sets whether the caller is another host, which sends the state of its sessions.
+    pub(super) fn expect_forwarded(&mut self, forwarded: bool) {
+        self.forwarded = forwarded;
+        self.lacks_forwarded = forwarded;
+    }
+
     /// Changes one setting for the rest of the session; a refused setting
     /// changes nothing.
     pub(super) fn set(&mut self, name: &str, value: &str, key: &TokenKey) -> Result<(), Refusal> {
@@ -170,6 +180,7 @@
     /// Replaces the session state by one that another host sent.
     fn apply_forwarded_state(&mut self, value: &str) -> Result<(), Refusal> {
         let forwarded = ForwardedState::parse(value).filter(|_| self.forwarded);
+        self.lacks_forwarded = self.forwarded && forwarded.is_none();
         let forwarded = forwarded.ok_or_else(|| Refusal {
             code: ResultCode::BadSetting,
             text: format!("{FORWARD_SETTING} is accepted only on connections between hosts"),
--- a/crates/daemon/src/pg_callers/forward_runner.rs
+++ b/crates/daemon/src/pg_callers/forward_runner.rs
@@ -150,8 +150,9 @@
         encode_query(state_statement, &mut bytes)?;
         encode_query(begin, &mut bytes)?;
         let segments = connection.exchange(&bytes, 2).await?;
+        let refused = segments.iter().any(|segment| segment.failed);
         match segments.last().map(|segment| segment.status) {
-            Some(b'T') => Ok(connection),
+            Some(b'T') if !refused => Ok(connection),
             _ => Err(UpstreamError::Refused { text: "BEGIN opened no transaction".to_owned() }),
         }
     }
--- a/crates/lab/tests/bad_callers.rs
+++ b/crates/lab/tests/bad_callers.rs
@@ -69,6 +69,47 @@
     assert!(healthy_caller.simple_query("SELECT 1").await.is_ok());
 }
 
+/// Encodes a query message.
+fn query_message(sql: &str) -> Vec<u8> {
+    let mut packet = b"Q".to_vec();
+    packet.extend_from_slice(&(sql.len() as u32 + 5).to_be_bytes());
+    packet.extend_from_slice(sql.as_bytes());
+    packet.push(0);
+    packet
+}
+
+/// A statement that another host forwards ran with the state of an earlier session if the gateway
+/// refused the state that was sent with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn statement_does_not_run_without_its_forwarded_state() {
+    let cluster = start().await;
+    let address = cluster.caller_addresses()[0];
+    let healthy_caller = LabCaller::connect(address, "shiftbook.1", &[]).await.unwrap();
+    healthy_caller.simple_query("CREATE TABLE t (a BIGINT)").await.unwrap();
+    let state = r#"{"session":"s1","named":true,"user":"a","mark":{"term":0,"offset":0},
+        "max_age":null,"request_key":null,"timeout":{"secs":5,"nanos":0}}"#;
+    for (first, second, expected) in [(state, state, 2), (state, "{}", 1), ("{}", state, 1)] {
+        healthy_caller.simple_query("DELETE FROM t").await.unwrap();
+        let mut bytes = startup_message("user|a|database|shiftbook.1|hawthornstack_forward|1|");
+        for state in [first, second] {
+            let set = format!("SET hawthornstack.forward_state = '{state}'");
+            bytes.extend_from_slice(&query_message(&set));
+            bytes.extend_from_slice(&query_message("INSERT INTO t VALUES (1)"));
+        }
+        bytes.extend_from_slice(b"X\0\0\0\x04");
+        // The daemon closes the connection at the last message; a closed sending side would
+        // cancel the statement before it.
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(&bytes).await.unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.unwrap();
+        let refused = contains(&answer, "hawthornstack result");
+        assert_eq!(refused, expected < 2, "{}", String::from_utf8_lossy(&answer));
+        let found = healthy_caller.simple_query("SELECT count(*) FROM t").await.unwrap();
+        assert_eq!(found.row[0].as_deref(), Some(expected.to_string().as_str()));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn random_bytes_end_the_connection() {
     let cluster = start().await;
