Use a first configuration of version 0 on entry hosts

Cause: in the reports of entry hosts 0 stands for no configuration, and an entry host without one took only versions above 0.

Change: a host without a configuration takes any. Control sends version 0 whole with each state, and no change from it, as a host that reports 0 may have none. Nothing differs for higher versions.

Measured: first_configuration_may_have_version_0 waited 30 s in vain before, and passes; state_feed, route_changes, key_revocation, caller_keys, control_faults, instance_feed and whole_configurations pass.

--- a/crates/daemon/src/entry_role/entry_host.rs
+++ b/crates/daemon/src/entry_role/entry_host.rs
@@ -71,7 +71,7 @@
     pub fn is_ready(&self) -> bool {
         let view = self.shared.view.borrow();
         self.shared.stage.get() == ShutdownStage::Serving
-            && view.routes_version() > 0
+            && view.routes().is_some()
             && view.has_lease(self.shared.now())
     }
 
--- a/crates/daemon/src/entry_role/session_task.rs
+++ b/crates/daemon/src/entry_role/session_task.rs
@@ -177,7 +177,7 @@
     let deadline = Instant::now() + ROUTES_TIMEOUT;
     loop {
         let changed = shared.changed.notified();
-        let known = shared.view.borrow().routes_version() > 0;
+        let known = shared.view.borrow().routes().is_some();
         if known || timeout_at(deadline, changed).await.is_err() {
             return known;
         }
--- a/crates/decisions/src/control_role/entry_flow.rs
+++ b/crates/decisions/src/control_role/entry_flow.rs
@@ -245,8 +245,13 @@
         }
         let (takes_changes, unpacks) = (entry.takes_changes, entry.hello.unpacks_records);
         let is_configuration_awaited = known.routes_version > entry.routes_version;
-        let newer =
-            self.control.routes.as_ref().filter(|table| table.version > known.routes_version);
+        // A host reports 0 also if it has no configuration, so that one with version 0 is
+        // sent with each state.
+        let newer = self
+            .control
+            .routes
+            .as_ref()
+            .filter(|table| table.version > known.routes_version || table.version == 0);
         if newer.is_some() && is_configuration_awaited {
             return;
         }
--- a/crates/decisions/src/control_role/route_feed.rs
+++ b/crates/decisions/src/control_role/route_feed.rs
@@ -41,7 +41,9 @@
             self.whole = PackedRoutes::pack(table).ok().map(Arc::new);
             self.changes.clear();
         }
-        let change = if reads_changes { self.change_from(known, table) } else { None };
+        // A host that has none reports version 0, too.
+        let has_base = reads_changes && known > 0;
+        let change = if has_base { self.change_from(known, table) } else { None };
         let forms = [self.whole.clone(), change];
         forms.into_iter().flatten().min_by_key(|packed| packed.packed_bytes())
     }
--- a/crates/decisions/src/entry_role/entry_view.rs
+++ b/crates/decisions/src/entry_role/entry_view.rs
@@ -128,7 +128,10 @@
         if since > self.applied {
             return false;
         }
-        if let Some(table) = routes.filter(|table| table.version > self.routes_version()) {
+        let is_newer = |table: &Arc<RouteTable>| {
+            self.routes.as_ref().is_none_or(|known| table.version > known.version)
+        };
+        if let Some(table) = routes.filter(is_newer) {
             self.routes_by_database = table
                 .routes
                 .iter()
