Show the voter that is never removed in the simulation

Each new leader counts a voter's silence from its own election; the hosts lost the lead before 1.5 s, and those to which 3 had said that it stops had restarted. The loss of one more disk left two of four voters. Ruled out: the removal that those left cannot commit, since three of the four ran.

Change: gone_voter_leaves_under_short_leads plays just this order.

--- a/crates/decisions/tests/voter_replacement.rs
+++ b/crates/decisions/tests/voter_replacement.rs
@@ -221,3 +221,38 @@
         assert!(world.replace(6, 12 * SECOND), "down for {down} ms");
     }
 }
+
+/// A voter that stopped for good must be removed also if no host leads for long: each new leader
+/// waited for 1.5 s of silence under its own lead, so that the loss of one disk left control
+/// without a leader. Seen with seed 9 of `process_soak`.
+#[test]
+fn gone_voter_leaves_under_short_leads() {
+    let mut world = ControlWorld::start(3);
+    world.run(3 * SECOND);
+    assert!(world.replace(5, SECOND));
+    world.boot(HostId(4), false);
+    world.run(8 * SECOND);
+    // Of the four voters 2 restarts, and 3, which 4 replaces, stops for good while 1 is down; 4
+    // restarts, too, so that nobody knows that 3 said so.
+    world.stop(HostId(2));
+    world.run(SECOND);
+    world.kill(HostId(1));
+    world.stop(HostId(3));
+    world.kill(HostId(4));
+    world.run(SECOND / 2);
+    for host in [1, 2, 4] {
+        world.boot(HostId(host), false);
+    }
+    for _ in 0..8 {
+        world.run(6 * SECOND / 5);
+        if let Some(leader) = world.leader() {
+            world.kill(leader);
+            world.run(SECOND / 5);
+            world.boot(leader, false);
+        }
+    }
+    world.wipe(HostId(4));
+    world.run(SECOND / 2);
+    world.boot(HostId(4), false);
+    assert!(world.replace(6, 20 * SECOND));
+}
