--- a/crates/daemon/src/journal/journal_file.rs
+++ b/crates/daemon/src/journal/journal_file.rs
@@ -1,11 +1,12 @@
 use std::{
+    collections::BTreeSet,
     fs::{self, File, OpenOptions, Permissions},
     io::{self, Write},
     os::unix::fs::{OpenOptionsExt, PermissionsExt},
     path::{Path, PathBuf},
 };
 
-use hawthornstack_decisions::agreement::{JournalRecord, LogEntry, StateSnapshot};
+use hawthornstack_decisions::agreement::{EntryLog, JournalRecord, StateSnapshot};
 use snafu::ResultExt;
 
 use crate::kernel::{
@@ -153,33 +154,25 @@
     Ok(file)
 }
 
-/// Keeps the newest hard state, the newest snapshot and the entries after it that are part
-/// of the same log. An entry that another leader's snapshot or entry has replaced must not
-/// come back: it has an older term, so that the host would vote for leaders that lack what
-/// is committed.
+/// Keeps the newest hard state, and the snapshot and the entries that replaying the records
+/// gives. An entry that another leader's snapshot or entry has replaced must not come back:
+/// it has an older term, so that the host would vote for leaders that lack what is committed.
 fn compact_records(records: Vec<JournalRecord>) -> Vec<JournalRecord> {
     let mut hard = None;
-    let mut snapshot: Option<Box<StateSnapshot>> = None;
-    let mut entries: Vec<LogEntry> = Vec::new();
+    let mut log = EntryLog::new(StateSnapshot::initial(BTreeSet::new()));
     for record in records {
         match record {
             JournalRecord::Hard(state) => hard = Some(state),
-            JournalRecord::Entry(entry) => {
-                entries.truncate(entries.partition_point(|kept| kept.index < entry.index));
-                entries.push(entry);
-            }
-            JournalRecord::Snapshot(newer) => {
-                let is_last = |index, term| (index, term) == (newer.index, newer.term);
-                let continues = entries.iter().any(|kept| is_last(kept.index, kept.term))
-                    || snapshot.as_ref().is_some_and(|older| is_last(older.index, older.term));
-                entries.retain(|kept| continues && kept.index > newer.index);
-                snapshot = Some(newer);
-            }
+            JournalRecord::Entry(entry) => log.append(entry),
+            JournalRecord::Snapshot(snapshot) => log.install(*snapshot),
         }
     }
+    let snapshot = log.snapshot().clone();
+    let entries = log.entries_from(snapshot.index + 1, usize::MAX, usize::MAX);
+    let has_snapshot = snapshot.index > 0;
     hard.map(JournalRecord::Hard)
         .into_iter()
-        .chain(snapshot.map(JournalRecord::Snapshot))
+        .chain(has_snapshot.then(|| JournalRecord::Snapshot(Box::new(snapshot))))
         .chain(entries.into_iter().map(JournalRecord::Entry))
         .collect()
 }
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -144,14 +144,8 @@
         journal: impl IntoIterator<Item = JournalRecord>,
         now: Moment,
     ) -> Self {
-        let snapshot = StateSnapshot {
-            index: 0,
-            term: 0,
-            voters: settings.first_voters.clone(),
-            state: ControlState::default(),
-        };
         let mut hard_state = HardState::default();
-        let mut log = EntryLog::new(snapshot);
+        let mut log = EntryLog::new(StateSnapshot::initial(settings.first_voters.clone()));
         for record in journal {
             match record {
                 JournalRecord::Hard(state) => hard_state = state,
--- a/crates/decisions/src/agreement/journal_record.rs
+++ b/crates/decisions/src/agreement/journal_record.rs
@@ -78,6 +78,13 @@
     pub state: ControlState,
 }
 
+impl StateSnapshot {
+    /// The state before the first entry of a log whose first voters these are.
+    pub fn initial(voters: BTreeSet<HostId>) -> Self {
+        Self { index: 0, term: 0, voters, state: ControlState::default() }
+    }
+}
+
 /// One record of a voter's journal; replaying all records in order restores
 /// the hard state, the snapshot and the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
