Review case 8: control stays without a leader after a removed voter and a lost disk

A voter that was replaced keeps its seat while no host leads for 1.5 s. With the processes of control killed four times meanwhile, one lost disk then leaves two votes of four.

--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -5,9 +5,9 @@
 };
 
 use crate::{
-    clients::{Writers, replace_config, wait_until_ready},
+    clients::{Writers, fetch_config, replace_config, wait_until_ready},
     databases::{Databases, Restarts, SERVICE},
-    hosts::{CONTROLS, ENTRIES, Host, Network},
+    hosts::{CONTROLS, ENTRIES, Host, NEW_CONTROL, Network},
     record::Record,
 };
 
@@ -32,6 +32,7 @@
             let restarts = Restarts { first_ping, copy_after, copied_per_s: 1e9 };
             play_crash(&network, restarts, &record, trouble)
         }
+        "short-leads" => play_short_leads(&network, &record, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match (&result, std::env::var_os("KEEP")) {
@@ -63,7 +64,7 @@
     for number in ENTRIES {
         hosts.push(Host::entry(network, number, record)?);
     }
-    replace_config(network, &config(7, sync_replicas), START_LIMIT, record)?;
+    replace_config(network, &CONTROLS, &config(7, sync_replicas), START_LIMIT, record)?;
     for number in ENTRIES {
         wait_until_ready(network.ready(number), START_LIMIT)?;
     }
@@ -122,3 +123,51 @@
     }
     Ok(held)
 }
+
+/// A control host is replaced by another one, which has run for eight seconds by then. The
+/// processes of the others are killed several times meanwhile, so that no leader leads for
+/// long. Then one machine loses its disk.
+fn play_short_leads(network: &Network, record: &Record, trouble: bool) -> io::Result<bool> {
+    const KILLS: u32 = 4;
+    /// Time between the return of the processes and the next time that they are killed.
+    const LEAD_TIME: Duration = Duration::from_millis(1_200);
+    const RETURN_TIME: Duration = Duration::from_millis(200);
+    const RECOVERY_TIME: Duration = Duration::from_secs(12);
+    const READ_TIME: Duration = Duration::from_secs(8);
+    let mut hosts = start_hosts(network, 0, record)?;
+    let entries = hosts.split_off(CONTROLS.len());
+    hosts.push(Host::joining_control(network, NEW_CONTROL, record)?);
+    sleep(Duration::from_secs(8));
+    let [first, second, gone, _] = [CONTROLS[0], CONTROLS[1], CONTROLS[2], NEW_CONTROL];
+    let staying = [first, second, NEW_CONTROL];
+    replace_config(network, &staying, &config(8, 0), START_LIMIT, record)?;
+    record.say(&format!("version 8 is acknowledged; {} is removed", network.ip(gone)));
+    hosts.remove(2).kill(record);
+    for kill in 1..=KILLS {
+        sleep(LEAD_TIME);
+        if !trouble {
+            sleep(RETURN_TIME);
+            continue;
+        }
+        hosts.iter_mut().for_each(|host| host.kill(record));
+        if kill == KILLS {
+            hosts[1].lose_disk(record)?;
+        }
+        sleep(RETURN_TIME);
+        for host in &mut hosts {
+            host.restart(record)?;
+        }
+    }
+    sleep(RECOVERY_TIME);
+    let read = fetch_config(network, &staying, READ_TIME, record);
+    let (held, words) = match &read {
+        Some(body) if body.contains("\"version\":8,") => (true, "version 8"),
+        Some(_) => (false, "another version"),
+        None => (false, "nothing"),
+    };
+    record.say(&format!("read back 12 s after the last disruption: {words}"));
+    let accepted = replace_config(network, &staying, &config(9, 0), READ_TIME, record).is_ok();
+    record.say(&format!("version 9 is acknowledged: {accepted}"));
+    drop((hosts, entries));
+    Ok(held)
+}
--- a/review/stand-in-2/clients.rs
+++ b/review/stand-in-2/clients.rs
@@ -11,11 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{
-    hosts::{CONTROLS, Network},
-    http,
-    record::Record,
-};
+use crate::{hosts::Network, http, record::Record};
 
 /// A client's session with an entry host.
 pub struct Session {
@@ -136,6 +132,7 @@
 /// Sends a configuration until it is acknowledged.
 pub fn replace_config(
     network: &Network,
+    controls: &[u8],
     body: &str,
     limit: Duration,
     record: &Record,
@@ -144,7 +141,7 @@
     let deadline = Instant::now() + limit;
     let mut turn = 0;
     while Instant::now() < deadline {
-        let mut at = network.operator(CONTROLS[turn % CONTROLS.len()]);
+        let mut at = network.operator(controls[turn % controls.len()]);
         turn += 1;
         for _ in 0..3 {
             let answer = http::call(at, "POST", "/Config.Replace", body, Duration::from_secs(1));
@@ -168,6 +165,38 @@
     Err(io::Error::other("no acknowledgement of the configuration"))
 }
 
+/// Reads the configuration back, again and again for `limit`; `None` if it never comes.
+pub fn fetch_config(
+    network: &Network,
+    controls: &[u8],
+    limit: Duration,
+    record: &Record,
+) -> Option<String> {
+    let deadline = Instant::now() + limit;
+    let mut turn = 0;
+    while Instant::now() < deadline {
+        let mut at = network.operator(controls[turn % controls.len()]);
+        turn += 1;
+        for _ in 0..3 {
+            let answer = http::call(at, "GET", "/Config.Fetch", "", Duration::from_secs(1));
+            match &answer {
+                Ok(answer) => record.line(&format!("{at} answers the read: {}", answer.status)),
+                Err(error) => record.line(&format!("{at} does not answer the read: {error}")),
+            }
+            match answer {
+                Ok(answer) if answer.status == 200 => return Some(answer.body),
+                Ok(answer) if answer.status == 307 => match answer.location {
+                    Some(location) => at = location,
+                    None => break,
+                },
+                _ => break,
+            }
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    None
+}
+
 /// Waits until an entry host reports itself ready.
 pub fn wait_until_ready(at: SocketAddr, limit: Duration) -> io::Result<()> {
     let deadline = Instant::now() + limit;
--- a/review/stand-in-2/hosts.rs
+++ b/review/stand-in-2/hosts.rs
@@ -21,6 +21,8 @@
 const PAGES_PORT: u16 = 9_464;
 
 pub const CONTROLS: [u8; 3] = [11, 12, 13];
+/// The control host that replaces one of the first.
+pub const NEW_CONTROL: u8 = 14;
 pub const ENTRIES: [u8; 2] = [21, 22];
 const CLOUD: u8 = 40;
 const DATABASES: u8 = 30;
@@ -44,7 +46,7 @@
             let folder = std::env::temp_dir().join(format!("review-2-{second}-{third}"));
             let network = Self { second, third, folder };
             let ports = [PAGES_PORT, OPERATOR_PORT, CALLER_PORT, READY_PORT, LINK_PORT];
-            let hosts = CONTROLS.iter().chain(&ENTRIES);
+            let hosts = CONTROLS.iter().chain(&ENTRIES).chain(&[NEW_CONTROL]);
             let free = hosts.flat_map(|host| ports.map(|port| network.address(*host, port)));
             if free.into_iter().all(|at| TcpListener::bind(at).is_ok()) && !network.folder.exists()
             {
@@ -118,25 +120,26 @@
         Ok(Self { number, role, network: network.clone(), child })
     }
 
-    /// Sends a signal by its name, such as TERM.
-    #[allow(dead_code)]
-    pub fn signal(&self, name: &str, record: &Record) {
-        record.line(&format!("SIG{name} to {} {}", self.role, self.network.ip(self.number)));
-        let command = format!("kill -{name} {}", self.child.id());
-        let _ = Command::new("sh").args(["-c", &command]).status();
+    /// Starts a control host with an empty disk beside those that run.
+    pub fn joining_control(network: &Network, number: u8, record: &Record) -> io::Result<Self> {
+        Self::start(network, number, "control", false, record)
     }
 
-    /// True once the process has ended.
-    #[allow(dead_code)]
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+    /// Kills the process.
+    pub fn kill(&mut self, record: &Record) {
+        record.line(&format!("SIGKILL to {} {}", self.role, self.network.ip(self.number)));
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Empties the disk of a host that was killed.
+    pub fn lose_disk(&self, record: &Record) -> io::Result<()> {
+        record.line(&format!("{} {} loses its disk", self.role, self.network.ip(self.number)));
+        fs::remove_dir_all(data_folder(&self.network, self.number))
     }
 
-    /// Starts the process again, with its disk.
-    #[allow(dead_code)]
+    /// Starts a host that was killed again, with its disk.
     pub fn restart(&mut self, record: &Record) -> io::Result<()> {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
         self.child = spawn(&self.network, self.number, self.role, false)?;
         record.line(&format!("started {} {} again", self.role, self.network.ip(self.number)));
         Ok(())
@@ -150,13 +153,17 @@
     }
 }
 
+fn data_folder(network: &Network, number: u8) -> PathBuf {
+    network.folder.join(format!("data-{number}"))
+}
+
 fn spawn(network: &Network, number: u8, role: &str, bootstrap: bool) -> io::Result<Child> {
     let (folder, ip) = (&network.folder, network.ip(number));
     let seeds: Vec<String> =
         CONTROLS.iter().map(|seed| network.operator(*seed).to_string()).collect();
     let (class, listen) = match role {
         "control" => {
-            let data = folder.join(format!("data-{number}"));
+            let data = data_folder(network, number);
             let listen = network.operator(number);
             ("core", format!("listen.control={listen}\ndata_dir={}\n", data.display()))
         }
