--- a/review/stand-in-2/clients.rs
+++ b/review/stand-in-2/clients.rs
@@ -129,6 +129,64 @@
     }
 }
 
+/// Clients that read all the time.
+pub struct Readers {
+    served: Arc<Mutex<usize>>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Readers {
+    pub fn start(
+        entries: Vec<SocketAddr>,
+        database: &str,
+        count: usize,
+        pause: Duration,
+        record: &Record,
+    ) -> Self {
+        let (served, stop) = (Arc::new(Mutex::new(0)), Arc::new(AtomicBool::new(false)));
+        let threads = (0..count).map(|client| {
+            let (served, stop) = (served.clone(), stop.clone());
+            let (at, database) = (entries[client % entries.len()], database.to_owned());
+            let record = record.clone();
+            thread::spawn(move || {
+                let mut number = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    let limit = Duration::from_secs(2);
+                    let Ok(mut session) = Session::open(at, &database, limit) else {
+                        thread::sleep(Duration::from_millis(100));
+                        continue;
+                    };
+                    while !stop.load(Ordering::Relaxed) {
+                        number += 1;
+                        let id = format!("r{client}n{number}");
+                        let Ok(lines) = session.run(&id, &format!("READ i{client}")) else {
+                            record.line(&format!("reader {client} {id}: no answer"));
+                            break;
+                        };
+                        record.line(&format!("reader {client} {id}: {}", lines.join(" / ")));
+                        if lines.iter().any(|line| line.starts_with("COMPLETE")) {
+                            *served.lock().unwrap() += 1;
+                        }
+                        thread::sleep(pause);
+                    }
+                }
+            })
+        });
+        let threads = threads.collect();
+        Self { served, stop, threads }
+    }
+
+    /// Stops the clients; returns the number of reads that were served.
+    pub fn stop(self) -> usize {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        *self.served.lock().unwrap()
+    }
+}
+
 /// Sends a configuration until it is acknowledged.
 pub fn replace_config(
     network: &Network,
--- a/review/stand-in-2/databases.rs
+++ b/review/stand-in-2/databases.rs
@@ -47,6 +47,7 @@
     sequence: u64,
     /// It started again without a log and copies the primary's.
     copies: bool,
+    draining: bool,
     connections: Vec<TcpStream>,
 }
 
@@ -147,6 +148,7 @@
             born_ms: 0,
             sequence: 0,
             copies: false,
+            draining: false,
             connections: Vec::new(),
         });
         let group = Group {
@@ -217,7 +219,7 @@
             let _ = connection.shutdown(Shutdown::Both);
         }
         self.record.line(&format!(
-            "database {} crashes at {}.{}",
+            "database {} ends at {}.{}",
             database.id,
             database.term,
             database.log.len()
@@ -244,6 +246,35 @@
         self.boot(index)
     }
 
+    /// Announces the planned shutdown of a database, which serves on.
+    pub fn drain(&self, index: usize) {
+        self.lock().databases[index].draining = true;
+    }
+
+    /// Ends a database that drains. Its log is transferred to a new one at its address.
+    pub fn replace(&self, index: usize) -> io::Result<()> {
+        let group = self.lock();
+        let (id, born) = (group.databases[index].id.clone(), group.databases[index].born_ms);
+        drop(group);
+        let (path, body) = (format!("/Instances.Leave/{id}"), format!("{{\"born\":{born}}}"));
+        for host in CONTROLS {
+            let at = self.network.operator(host);
+            let answer = http::call(at, "POST", &path, &body, Duration::from_secs(1));
+            if answer.is_ok_and(|answer| answer.status / 100 == 2) {
+                break;
+            }
+        }
+        self.crash(index);
+        let mut group = self.lock();
+        let database = &mut group.databases[index];
+        database.id = format!("n-{index}c07e");
+        database.draining = false;
+        database.sequence = 0;
+        drop(group);
+        self.record.line(&format!("{id} has left; n-{index}c07e takes its log and address"));
+        self.boot(index)
+    }
+
     fn boot(&self, index: usize) -> io::Result<()> {
         let at = self.lock().databases[index].at;
         let listener = bind(at)?;
@@ -279,18 +310,19 @@
         group.databases[index].up && group.databases[index].boot == boot
     }
 
-    /// Pings control, at once when its role changes.
+    /// Pings control, at once when its role or state changes.
     fn send_heartbeats(&self, index: usize, boot: u64) {
         let first_ping = self.lock().restarts.first_ping;
         thread::sleep(first_ping);
         let mut turn = index;
-        let mut last_role = None;
+        let mut last_sent = None;
         let mut waited = HEARTBEAT;
         while self.runs(index, boot) {
             let mut group = self.lock();
             let database = &mut group.databases[index];
             let role = if database.is_primary { "primary" } else { "replica" };
-            if waited < HEARTBEAT && last_role == Some(role) {
+            let state = if database.draining { "draining" } else { "ready" };
+            if waited < HEARTBEAT && last_sent == Some((role, state)) {
                 drop(group);
                 thread::sleep(Duration::from_millis(10));
                 waited += Duration::from_millis(10);
@@ -299,18 +331,19 @@
             database.sequence += 1;
             let body = format!(
                 "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\
-                 \"slots\":{SLOTS},\"state\":\"ready\",\"cold_remaining_ms\":0,\
+                 \"slots\":{SLOTS},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
                  \"db_role\":\"{role}\",\"seq\":{},\"born\":{}}}",
                 database.at, database.sequence, database.born_ms
             );
             let path = format!("/Instances.Heartbeat/{}", database.id);
             drop(group);
-            last_role = Some(role);
+            last_sent = Some((role, state));
             waited = Duration::ZERO;
             for _ in 0..CONTROLS.len() {
                 let at = self.network.operator(CONTROLS[turn % CONTROLS.len()]);
                 let answer = http::call(at, "POST", &path, &body, Duration::from_secs(1));
                 if answer.is_ok_and(|answer| answer.status / 100 == 2) {
+                    self.record.line(&format!("{at} acknowledges {body}"));
                     break;
                 }
                 turn += 1;
--- a/review/stand-in-2/hosts.rs
+++ b/review/stand-in-2/hosts.rs
@@ -125,6 +125,13 @@
         Self::start(network, number, "control", false, record)
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self, record: &Record) {
+        record.line(&format!("SIGTERM to {} {}", self.role, self.network.ip(self.number)));
+        let command = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+    }
+
     /// Kills the process.
     pub fn kill(&mut self, record: &Record) {
         record.line(&format!("SIGKILL to {} {}", self.role, self.network.ip(self.number)));
