Test the quorums of an open change, and replacements in a row under short leads

Without the shorter limit for voters that have answered nothing, replaced_hosts_leave_under_short_leads finds the first replaced voter still in its seat after four leads of a second.

--- a/crates/decisions/tests/short_leads.rs
+++ b/crates/decisions/tests/short_leads.rs
@@ -84,6 +84,35 @@
     }
 }
 
+/// Voters that were replaced must leave in leads shorter than the silence of one that has answered
+/// before: they add up, and the next replacement and lost disk would leave too few.
+#[test]
+fn replaced_hosts_leave_under_short_leads() {
+    let mut world = ControlWorld::start(3);
+    world.run(3 * SECOND);
+    assert!(world.replace(5, SECOND));
+    let mut hosts: BTreeSet<HostId> = (1..=3).map(HostId).collect();
+    for (gone, new) in [(3, 4), (1, 5), (2, 6)] {
+        world.boot(HostId(new), false);
+        hosts.insert(HostId(new));
+        world.run(8 * SECOND);
+        world.kill(HostId(gone));
+        hosts.remove(&HostId(gone));
+        for _ in 0..4 {
+            hosts.iter().for_each(|host| world.kill(*host));
+            world.run(SECOND / 5);
+            boot_all(&mut world, &hosts);
+            world.run(SECOND);
+        }
+        let leader = world.leader().expect("a leader");
+        assert_eq!(world.voters(leader), hosts, "{gone} is gone");
+    }
+    world.wipe(HostId(4));
+    world.run(SECOND / 5);
+    world.boot(HostId(4), false);
+    assert!(world.replace(6, RECOVERY_TIME));
+}
+
 struct RestartSchedule {
     seed: u64,
     rng: ChaCha8Rng,
--- a/crates/decisions/tests/voter_quorums.rs
+++ b/crates/decisions/tests/voter_quorums.rs
@@ -360,6 +360,51 @@
     }
 }
 
+/// Two of four voters that have not heard of a fifth one may elect a leader without a voter whose
+/// disk is lost. The other two and the fifth are three of five, but must not have committed
+/// anything alone.
+#[test]
+fn change_is_committed_by_the_voters_before_it() {
+    for seed in 0..20 {
+        let mut run = QuorumRun::new(seed, 4);
+        run.calm = true;
+        let is_leader = |run: &QuorumRun, id: HostId| {
+            let state = run.hosts[&id].state.as_ref();
+            state.is_some_and(|state| state.is_current_leader(run.now))
+        };
+        let ids: Vec<HostId> = (1..=4).map(HostId).collect();
+        let leader = ids.iter().copied().find(|id| is_leader(&run, *id)).expect("a leader");
+        let others: Vec<HostId> = ids.into_iter().filter(|id| *id != leader).collect();
+        let (lost, cut_off) = (others[0], &others[1..]);
+        let new = HostId(5);
+        let until = run.now + Duration::from_secs(60);
+        for far in cut_off {
+            for near in [leader, lost, new] {
+                run.cuts.insert((*far, near), until);
+                run.cuts.insert((near, *far), until);
+            }
+        }
+        run.boot(new, false);
+        for _ in 0..60 {
+            run.run(20);
+            let state = run.hosts.get_mut(&leader).and_then(|host| host.state.as_mut());
+            let proposal = state.map(|state| state.propose(run.now, ControlCommand::LeaderElected));
+            if let Some(Ok((_, effects))) = proposal {
+                run.execute(leader, effects);
+            }
+        }
+        run.kill(leader);
+        run.gone.insert(leader);
+        run.kill(lost);
+        run.kill(new);
+        run.hosts.get_mut(&lost).expect("a host").disk.clear();
+        run.cuts.clear();
+        run.boot(lost, false);
+        run.boot(new, false);
+        run.check_recovery();
+    }
+}
+
 /// Quorums must share a voter whatever the hosts know of changes and of lost disks: no term has
 /// two leaders, no committed entry is lost, and a leader is found once all hosts are back.
 #[test]
