--- a/crates/decisions/tests/short_leads.rs
+++ b/crates/decisions/tests/short_leads.rs
@@ -167,20 +167,52 @@
         }
     }
 
-    /// Replaces hosts by others that have run for long enough before; the old ones go at any
-    /// time while processes start again.
+    fn start_new_host(&mut self) {
+        self.world.set_seeds(self.hosts.iter().copied().take(3).collect());
+        let host = HostId(self.next_host);
+        self.next_host += 1;
+        self.world.boot(host, false);
+        self.hosts.insert(host);
+    }
+
+    fn remove_host(&mut self, host: HostId) {
+        match self.rng.random_range(0..3) {
+            0 => self.world.stop(host),
+            _ => self.world.kill(host),
+        }
+        self.hosts.remove(&host);
+    }
+
+    /// Leaves new hosts the time to catch up. All processes may be killed meanwhile, with leads
+    /// that are long enough to add a host.
+    fn catch_up(&mut self) {
+        let end = self.world.now + CATCH_UP_TIME;
+        let restarts = self.rng.random_range(0..2) == 0;
+        while self.world.now < end {
+            if restarts {
+                self.hosts.iter().for_each(|host| self.world.kill(*host));
+                self.run_for(50, 500);
+                boot_all(&mut self.world, &self.hosts);
+            }
+            self.run_for(1_500, 2_500);
+        }
+    }
+
+    /// Replaces hosts while processes start again, the old ones first or the new ones first.
     fn replace_hosts(&mut self) {
         let count = self.rng.random_range(1..=MAX_REPLACED);
         let old: BTreeSet<HostId> = (0..count).map(|_| self.pick_host()).collect();
+        if old.len() == 1 && self.rng.random_range(0..3) == 0 {
+            old.into_iter().for_each(|host| self.remove_host(host));
+            self.restart_processes();
+            self.start_new_host();
+            return self.catch_up();
+        }
         for _ in &old {
-            self.world.set_seeds(self.hosts.iter().copied().take(3).collect());
-            let host = HostId(self.next_host);
-            self.next_host += 1;
-            self.world.boot(host, false);
-            self.hosts.insert(host);
+            self.start_new_host();
             self.run_for(0, 2_000);
         }
-        self.world.run(CATCH_UP_TIME);
+        self.catch_up();
         if self.rng.random_range(0..2) == 0 {
             self.restart_processes();
         }
@@ -189,11 +221,7 @@
                 self.restart_processes();
                 self.world.run(DETECTION_TIME);
             }
-            match self.rng.random_range(0..3) {
-                0 => self.world.stop(*host),
-                _ => self.world.kill(*host),
-            }
-            self.hosts.remove(host);
+            self.remove_host(*host);
         }
     }
 
