--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -50,7 +50,7 @@
     /// replicating to them after they are removed from the voters.
     pub first_voters: BTreeSet<HostId>,
     /// Number of voters whose disks may be lost at once. Voters that are gone are removed
-    /// in pairs while enough remain for it; `None` removes only the one of an even number.
+    /// while enough remain for it; `None` removes only the one of an even number.
     pub tolerated_losses: Option<usize>,
     /// Committed log entries after which a snapshot replaces them, once the log is as large
     /// as the state.
