Ask in one place whether a host follows a leader

An inquiry and a vote request of a candidate each worked out on their own whether the host has heard from a leader within the last election timeout. Both call follows_leader now. Behaviour is the same: voter_replacement, control_restart and short_leads pass.

--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -85,7 +85,7 @@
     pub(super) heartbeat_due: Moment,
     /// Index of the first entry of this leader's term.
     pub(super) first_index: u64,
-    /// Voters that were elected without, as their disks were lost.
+    /// Voters with lost disks that this leader was elected without.
     pub(super) excluded: BTreeSet<HostId>,
 }
 
--- a/crates/decisions/src/agreement/election.rs
+++ b/crates/decisions/src/agreement/election.rs
@@ -132,7 +132,7 @@
     /// True if the candidate, which has a log, may be elected without this voter, as what it
     /// had promised and synced is lost with its disk.
     fn reports_empty_disk(&self, now: Moment, request: &VoteRequest) -> bool {
-        let follows = self.heard_leader && now < self.abstains_until;
+        let follows = self.follows_leader(now);
         !self.hard_state.eligible && !request.forming && request.last_index > 0 && !follows
     }
 
--- a/crates/decisions/src/agreement/leader_inquiry.rs
+++ b/crates/decisions/src/agreement/leader_inquiry.rs
@@ -70,9 +70,14 @@
         }
     }
 
+    /// True if this host has heard from a leader within the last election timeout.
+    pub(super) fn follows_leader(&self, now: Moment) -> bool {
+        self.heard_leader && now < self.abstains_until
+    }
+
     /// Answers whether this host leads or follows a leader.
     pub(super) fn receive_inquiry(&mut self, now: Moment, from: HostId, number: u64) {
-        let follows = self.heard_leader && now < self.abstains_until;
+        let follows = self.follows_leader(now);
         let reply = InquiryReply {
             number,
             knows_no_leader: !follows && !self.is_leader(),
