Share the seeded hosts and the set-ups of the schedules of control hosts

short_leads had written again what voter_schedules has: the hosts with their seed, drawing a host, starting a new one. Both use HostSchedule of control_world now. Seven tests read the number of schedules with the same two lines; they call schedule_count. In short_leads and voter_quorums the repeated set-ups, kills, proposals and lost disks are functions. The lost disk of change_is_committed_by_the_voters_before_it is also recorded as lost now.

Assertions, bounds and the order of random draws are the same.

--- a/crates/decisions/tests/control_faults.rs
+++ b/crates/decisions/tests/control_faults.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use control_world::{ControlWorld, table};
+use control_world::{ControlWorld, schedule_count, table};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{OperatorOrder, OrderAnswer},
@@ -226,8 +226,7 @@
 
 #[test]
 fn acknowledged_configurations_survive_overlapping_faults() {
-    let configured = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = configured.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let schedules = schedule_count(SCHEDULES);
     let mut acknowledged = 0;
     for seed in 0..schedules {
         let mut faults = FaultRun::new(seed);
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -4,7 +4,9 @@
 
 #![allow(dead_code, missing_docs, unused_imports)]
 
+mod host_schedule;
 mod records;
+mod schedule_count;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -25,7 +27,9 @@
     primaries::InstanceStatus,
 };
 
+pub use host_schedule::HostSchedule;
 pub use records::{departure_of, instance, numbered_instance, renewal, table};
+pub use schedule_count::schedule_count;
 
 /// One-way delay between two hosts.
 const LINK_DELAY: Duration = Duration::from_millis(1);
--- a/crates/decisions/tests/first_start.rs
+++ b/crates/decisions/tests/first_start.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use control_world::ControlWorld;
+use control_world::{ControlWorld, schedule_count};
 use hawthornstack_decisions::{clock::Moment, identity::HostId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -53,8 +53,7 @@
 /// that no two hosts agreed on whether the group exists.
 #[test]
 fn slow_disks_and_kills_in_seeded_schedules() {
-    let schedules = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let schedules = schedule_count(SCHEDULES);
     for seed in 0..schedules {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = if seed % 4 == 0 { 5 } else { 3 };
--- a/crates/decisions/tests/key_revocation.rs
+++ b/crates/decisions/tests/key_revocation.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use control_world::{ControlWorld, renewal, table};
+use control_world::{ControlWorld, renewal, schedule_count, table};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{ControlEvent, EntryHello, EntryUpdate, OperatorOrder, OrderAnswer},
@@ -355,8 +355,7 @@
 
 #[test]
 fn no_key_is_admitted_after_the_limit() {
-    let configured = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = configured.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let schedules = schedule_count(SCHEDULES);
     for seed in 0..schedules {
         let run = run_schedule(seed, Guard::Lease);
         // Hosts that admit nobody would pass every check.
--- a/crates/decisions/tests/primary_schedules.rs
+++ b/crates/decisions/tests/primary_schedules.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use control_world::{ControlWorld, departure_of, instance};
+use control_world::{ControlWorld, departure_of, instance, schedule_count};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{ControlEvent, EntryHello, EntryReport},
@@ -313,8 +313,7 @@
 /// not break the drain period, start a term early or leave a service without a primary.
 #[test]
 fn drains_and_crashes_in_seeded_schedules() {
-    let schedules = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let schedules = schedule_count(SCHEDULES);
     for seed in 0..schedules {
         let mut run = ScheduleRun::new(seed);
         for entry in ENTRIES {
--- a/crates/decisions/tests/replicated_commits.rs
+++ b/crates/decisions/tests/replicated_commits.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use control_world::{ControlWorld, departure_of, instance};
+use control_world::{ControlWorld, departure_of, instance, schedule_count};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{ControlEvent, EntryHello, EntryReport},
@@ -499,8 +499,7 @@
 /// receive nothing, and in which order; drained databases get no work, and each change ends.
 #[test]
 fn acknowledged_commits_survive_seeded_schedules() {
-    let schedules = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
+    let schedules = schedule_count(SCHEDULES);
     let mut primary_drains = 0;
     for seed in 0..schedules {
         let (count, sync_replicas) = match seed % 4 {
--- a/crates/decisions/tests/short_leads.rs
+++ b/crates/decisions/tests/short_leads.rs
@@ -5,14 +5,13 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use control_world::ControlWorld;
+use control_world::{ControlWorld, HostSchedule, schedule_count};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{OperatorOrder, OrderAnswer},
     identity::HostId,
 };
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::RngExt;
 
 /// Number of schedules, unless `HAWTHORNSTACK_SCHEDULES` sets another one.
 const SCHEDULES: u64 = 300;
@@ -25,32 +24,47 @@
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 /// Time in which control must serve again after the last loss.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
-
 /// Time in which control notices that a host is gone: an election, and the silence of the host.
 /// Where two go sooner, a majority of the voters may be lost with the next disk.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 
+/// Three hosts with a leader and a configuration, and a fourth that has become a voter.
+fn start_with_successor() -> ControlWorld {
+    let mut world = ControlWorld::start(3);
+    world.run(3 * SECOND);
+    world.boot(HostId(4), false);
+    world.run(8 * SECOND);
+    assert!(world.replace(5, SECOND));
+    world
+}
+
+fn kill_all(world: &mut ControlWorld, hosts: &BTreeSet<HostId>) {
+    hosts.iter().for_each(|host| world.kill(*host));
+}
+
 fn boot_all(world: &mut ControlWorld, hosts: &BTreeSet<HostId>) {
     hosts.iter().for_each(|host| world.boot(*host, false));
 }
 
+/// Starts a host that was killed or wiped, and whose process is away for a moment.
+fn boot_again(world: &mut ControlWorld, host: u32) {
+    world.run(SECOND / 5);
+    world.boot(HostId(host), false);
+}
+
 /// A control host that was replaced keeps its seat while the processes of the others are killed
 /// again and again; then one disk is lost. Control was left without a leader for good.
 #[test]
 fn disk_is_lost_after_a_replacement_under_short_leads() {
     for lead_ms in [300, 700, 1_200, 2_500] {
         for (gone, lost) in [(3, 2), (3, 4), (1, 2), (1, 4), (2, 1)] {
-            let mut world = ControlWorld::start(3);
-            world.run(3 * SECOND);
-            world.boot(HostId(4), false);
-            world.run(8 * SECOND);
-            assert!(world.replace(5, SECOND));
+            let mut world = start_with_successor();
             let staying: BTreeSet<HostId> =
                 (1..=4).filter(|host| *host != gone).map(HostId).collect();
             world.kill(HostId(gone));
             for kill in 0..4 {
                 world.run(Duration::from_millis(lead_ms));
-                staying.iter().for_each(|host| world.kill(*host));
+                kill_all(&mut world, &staying);
                 if kill == 3 {
                     world.wipe(HostId(lost));
                 }
@@ -71,15 +85,10 @@
 #[test]
 fn disk_is_lost_as_a_replaced_host_goes() {
     for (gone, lost) in [(3, 1), (3, 4), (1, 2), (1, 4), (2, 4)] {
-        let mut world = ControlWorld::start(3);
-        world.run(3 * SECOND);
-        world.boot(HostId(4), false);
-        world.run(8 * SECOND);
-        assert!(world.replace(5, SECOND));
+        let mut world = start_with_successor();
         world.kill(HostId(gone));
         world.wipe(HostId(lost));
-        world.run(SECOND / 5);
-        world.boot(HostId(lost), false);
+        boot_again(&mut world, lost);
         assert!(world.replace(6, RECOVERY_TIME), "{gone} gone, {lost} lost its disk");
     }
 }
@@ -99,7 +108,7 @@
         world.kill(HostId(gone));
         hosts.remove(&HostId(gone));
         for _ in 0..4 {
-            hosts.iter().for_each(|host| world.kill(*host));
+            kill_all(&mut world, &hosts);
             world.run(SECOND / 5);
             boot_all(&mut world, &hosts);
             world.run(SECOND);
@@ -108,47 +117,11 @@
         assert_eq!(world.voters(leader), hosts, "{gone} is gone");
     }
     world.wipe(HostId(4));
-    world.run(SECOND / 5);
-    world.boot(HostId(4), false);
+    boot_again(&mut world, 4);
     assert!(world.replace(6, RECOVERY_TIME));
 }
 
-struct RestartSchedule {
-    seed: u64,
-    rng: ChaCha8Rng,
-    world: ControlWorld,
-    tolerated: u32,
-    /// Hosts that stay, all running but during a restart.
-    hosts: BTreeSet<HostId>,
-    next_host: u32,
-    version: u64,
-}
-
-impl RestartSchedule {
-    fn new(seed: u64, count: u32) -> Self {
-        let mut world = ControlWorld::start(count);
-        world.run(3 * SECOND);
-        Self {
-            seed,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            tolerated: count / 2,
-            hosts: (1..=count).map(HostId).collect(),
-            next_host: count + 1,
-            version: 5,
-            world,
-        }
-    }
-
-    fn run_for(&mut self, from_ms: u64, to_ms: u64) {
-        let time = Duration::from_millis(self.rng.random_range(from_ms..to_ms));
-        self.world.run(time);
-    }
-
-    fn pick_host(&mut self) -> HostId {
-        let hosts: Vec<HostId> = self.hosts.iter().copied().collect();
-        hosts[self.rng.random_range(0..hosts.len())]
-    }
-
+impl HostSchedule {
     /// Kills the processes of all hosts, or of some one by one, several times in a row.
     fn restart_processes(&mut self) {
         let together = self.rng.random_range(0..2) == 0;
@@ -157,7 +130,7 @@
                 true => self.hosts.clone(),
                 false => BTreeSet::from([self.pick_host()]),
             };
-            hosts.iter().for_each(|host| self.world.kill(*host));
+            kill_all(&mut self.world, &hosts);
             self.run_for(50, 700);
             for host in hosts {
                 self.world.boot(host, false);
@@ -167,14 +140,6 @@
         }
     }
 
-    fn start_new_host(&mut self) {
-        self.world.set_seeds(self.hosts.iter().copied().take(3).collect());
-        let host = HostId(self.next_host);
-        self.next_host += 1;
-        self.world.boot(host, false);
-        self.hosts.insert(host);
-    }
-
     fn remove_host(&mut self, host: HostId) {
         match self.rng.random_range(0..3) {
             0 => self.world.stop(host),
@@ -190,7 +155,7 @@
         let restarts = self.rng.random_range(0..2) == 0;
         while self.world.now < end {
             if restarts {
-                self.hosts.iter().for_each(|host| self.world.kill(*host));
+                kill_all(&mut self.world, &self.hosts);
                 self.run_for(50, 500);
                 boot_all(&mut self.world, &self.hosts);
             }
@@ -228,12 +193,12 @@
     /// Loses as many disks as must be borne, or fewer, with or without a restart of all processes
     /// at that moment.
     fn lose_disks(&mut self) {
-        let lost: BTreeSet<HostId> = (0..self.tolerated).map(|_| self.pick_host()).collect();
+        let lost = self.pick_lost_hosts();
         let killed = match self.rng.random_range(0..2) {
             0 => self.hosts.clone(),
             _ => lost.clone(),
         };
-        killed.iter().for_each(|host| self.world.kill(*host));
+        kill_all(&mut self.world, &killed);
         lost.iter().for_each(|host| self.world.wipe(*host));
         self.run_for(50, 1_000);
         for host in killed {
@@ -282,11 +247,9 @@
 /// lose a configuration, as long as no more disks are lost at once than must be borne.
 #[test]
 fn replacements_restarts_and_lost_disks_in_seeded_schedules() {
-    let schedules = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
-    for seed in 0..schedules {
+    for seed in 0..schedule_count(SCHEDULES) {
         let count = if seed % 3 == 0 { 5 } else { 3 };
-        let mut schedule = RestartSchedule::new(seed, count);
+        let mut schedule = HostSchedule::new(seed, count);
         assert!(schedule.world.replace(schedule.version, SECOND));
         (0..ROUNDS).for_each(|_| schedule.play_round());
     }
--- a/crates/decisions/tests/voter_quorums.rs
+++ b/crates/decisions/tests/voter_quorums.rs
@@ -100,11 +100,11 @@
         host.unsynced.clear();
         let state = AgreementState::restore(id, settings, host.disk.clone(), self.now);
         host.state = Some(state);
-        let running: Vec<HostId> = self.running();
-        for other in running {
-            if let Some(state) = self.hosts.get_mut(&other).and_then(|host| host.state.as_mut()) {
+        let now = self.now;
+        for other in self.running() {
+            if let Some(state) = self.state_mut(other) {
                 state.record_started(id);
-                state.admit_learner(self.now, id);
+                state.admit_learner(now, id);
             }
         }
     }
@@ -116,6 +116,33 @@
         }
     }
 
+    fn wipe(&mut self, id: HostId) {
+        self.kill(id);
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.disk.clear();
+            host.has_lost_disk = true;
+        }
+    }
+
+    fn state_mut(&mut self, id: HostId) -> Option<&mut AgreementState> {
+        self.hosts.get_mut(&id)?.state.as_mut()
+    }
+
+    /// Proposes an entry to a host, which appends it if it leads.
+    fn propose(&mut self, id: HostId) {
+        let now = self.now;
+        let state = self.state_mut(id);
+        let proposal = state.map(|state| state.propose(now, ControlCommand::LeaderElected));
+        if let Some(Ok((_, effects))) = proposal {
+            self.execute(id, effects);
+        }
+    }
+
+    fn leader(&self) -> Option<(HostId, &AgreementState)> {
+        let running = self.hosts.iter().filter_map(|(id, host)| Some((*id, host.state.as_ref()?)));
+        running.into_iter().find(|(_, state)| state.is_current_leader(self.now))
+    }
+
     fn running(&self) -> Vec<HostId> {
         let running = self.hosts.iter().filter(|(_, host)| host.state.is_some());
         running.map(|(id, _)| *id).collect()
@@ -127,7 +154,7 @@
 
     fn step(&mut self, id: HostId, event: AgreementEvent) {
         let now = self.now;
-        let Some(state) = self.hosts.get_mut(&id).and_then(|host| host.state.as_mut()) else {
+        let Some(state) = self.state_mut(id) else {
             return;
         };
         let effects = state.step(now, event);
@@ -152,10 +179,9 @@
                 AgreementEffect::Elected(term) => {
                     let first = *self.leaders.entry(term).or_insert(id);
                     assert_eq!(first, id, "seed {}: two leaders of term {term}", self.seed);
-                    let running = self.running();
-                    let state = self.hosts.get_mut(&id).and_then(|host| host.state.as_mut());
-                    let state = state.expect("a running host");
-                    running.into_iter().for_each(|other| state.admit_learner(self.now, other));
+                    let (now, running) = (self.now, self.running());
+                    let state = self.state_mut(id).expect("a running host");
+                    running.into_iter().for_each(|other| state.admit_learner(now, other));
                 }
                 AgreementEffect::Installed(_) | AgreementEffect::SteppedDown => {}
             }
@@ -226,7 +252,7 @@
             }
             let host = self.hosts.get_mut(&id).expect("a host");
             host.has_lost_disk &= !host.state.as_ref().is_some_and(AgreementState::is_eligible);
-            if let Some(state) = self.hosts.get_mut(&id).and_then(|host| host.state.as_mut()) {
+            if let Some(state) = self.state_mut(id) {
                 let control = state.restored_state().clone();
                 let effects = state.compact(&control);
                 self.execute(id, effects);
@@ -257,13 +283,13 @@
             });
         let committed = self.committed.values().rev().find_map(|(_, voters)| voters.clone());
         sets.chain(committed).filter(|voters| !voters.is_empty()).all(|voters| {
-            let empty = |id: &HostId| {
-                (with_return && *id == lost)
-                    || (self.hosts[id].has_lost_disk && !self.gone.contains(id) && *id != lost)
+            let is_gone = |id: &HostId| match *id == lost {
+                true => !with_return,
+                false => self.gone.contains(id),
             };
-            let without_disk = voters.iter().filter(|id| empty(id)).count();
-            let gone = |id: &HostId| self.gone.contains(id) || (!with_return && *id == lost);
-            let gone = voters.iter().filter(|id| gone(id)).count();
+            let is_empty = |id: &HostId| *id == lost || self.hosts[id].has_lost_disk;
+            let gone = voters.iter().filter(|id| is_gone(id)).count();
+            let without_disk = voters.iter().filter(|id| !is_gone(id) && is_empty(id)).count();
             let left = voters.len() - without_disk - gone;
             let needed = match voters.len().is_multiple_of(2) && without_disk == 1 {
                 true => voters.len() / 2,
@@ -291,10 +317,7 @@
             8 | 9 => {
                 // The hosts tell the voters that they know only while they run.
                 if self.all_run() && self.bears(host, true) {
-                    self.kill(host);
-                    let state = self.hosts.get_mut(&host).expect("a host");
-                    state.disk.clear();
-                    state.has_lost_disk = true;
+                    self.wipe(host);
                 }
             }
             10 => {
@@ -316,12 +339,7 @@
             }
         }
         for id in self.running() {
-            let state = self.hosts.get_mut(&id).and_then(|host| host.state.as_mut());
-            let proposal =
-                state.map(|state| state.propose(self.now, ControlCommand::LeaderElected));
-            if let Some(Ok((_, effects))) = proposal {
-                self.execute(id, effects);
-            }
+            self.propose(id);
         }
     }
 
@@ -342,8 +360,7 @@
         let end = self.now + RECOVERY_TIME;
         let leads = loop {
             self.run(50);
-            let mut leaders = self.hosts.values().filter_map(|host| host.state.as_ref());
-            if let Some(leader) = leaders.find(|state| state.is_current_leader(self.now)) {
+            if let Some((_, leader)) = self.leader() {
                 break leader.commit() >= newest;
             }
             let voters = self.committed.values().rev().find_map(|(_, voters)| voters.clone());
@@ -368,13 +385,8 @@
     for seed in 0..20 {
         let mut run = QuorumRun::new(seed, 4);
         run.calm = true;
-        let is_leader = |run: &QuorumRun, id: HostId| {
-            let state = run.hosts[&id].state.as_ref();
-            state.is_some_and(|state| state.is_current_leader(run.now))
-        };
-        let ids: Vec<HostId> = (1..=4).map(HostId).collect();
-        let leader = ids.iter().copied().find(|id| is_leader(&run, *id)).expect("a leader");
-        let others: Vec<HostId> = ids.into_iter().filter(|id| *id != leader).collect();
+        let (leader, _) = run.leader().expect("a leader");
+        let others: Vec<HostId> = run.running().into_iter().filter(|id| *id != leader).collect();
         let (lost, cut_off) = (others[0], &others[1..]);
         let new = HostId(5);
         let until = run.now + Duration::from_secs(60);
@@ -387,17 +399,12 @@
         run.boot(new, false);
         for _ in 0..60 {
             run.run(20);
-            let state = run.hosts.get_mut(&leader).and_then(|host| host.state.as_mut());
-            let proposal = state.map(|state| state.propose(run.now, ControlCommand::LeaderElected));
-            if let Some(Ok((_, effects))) = proposal {
-                run.execute(leader, effects);
-            }
+            run.propose(leader);
         }
         run.kill(leader);
         run.gone.insert(leader);
-        run.kill(lost);
+        run.wipe(lost);
         run.kill(new);
-        run.hosts.get_mut(&lost).expect("a host").disk.clear();
         run.cuts.clear();
         run.boot(lost, false);
         run.boot(new, false);
--- a/crates/decisions/tests/voter_schedules.rs
+++ b/crates/decisions/tests/voter_schedules.rs
@@ -6,14 +6,13 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use control_world::ControlWorld;
+use control_world::{HostSchedule, schedule_count};
 use hawthornstack_decisions::{
     clock::Moment,
     control_role::{OperatorOrder, OrderAnswer},
     identity::HostId,
 };
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::RngExt;
 
 /// Number of schedules, unless `HAWTHORNSTACK_SCHEDULES` sets another one.
 const SCHEDULES: u64 = 150;
@@ -31,155 +30,119 @@
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 
 struct VoterSchedule {
-    seed: u64,
-    rng: ChaCha8Rng,
-    world: ControlWorld,
-    tolerated: usize,
-    /// Running hosts.
-    hosts: BTreeSet<HostId>,
-    next_host: u32,
-    version: u64,
+    base: HostSchedule,
     /// Time from which on another loss may follow.
     calm_from: Moment,
 }
 
 impl VoterSchedule {
     fn new(seed: u64, count: u32) -> Self {
-        let mut world = ControlWorld::start(count);
-        world.run(Duration::from_secs(3));
-        Self {
-            seed,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            tolerated: count as usize / 2,
-            hosts: (1..=count).map(HostId).collect(),
-            next_host: count + 1,
-            version: 5,
-            calm_from: world.now,
-            world,
-        }
-    }
-
-    fn run_for(&mut self, from_ms: u64, to_ms: u64) {
-        let time = Duration::from_millis(self.rng.random_range(from_ms..to_ms));
-        self.world.run(time);
+        let base = HostSchedule::new(seed, count);
+        Self { calm_from: base.world.now, base }
     }
 
     fn wait_until_calm(&mut self) {
-        let now = self.world.now;
+        let now = self.base.world.now;
         if now < self.calm_from {
-            self.world.run(self.calm_from.since(now));
+            self.base.world.run(self.calm_from.since(now));
         }
     }
 
-    fn pick_host(&mut self) -> HostId {
-        let hosts: Vec<HostId> = self.hosts.iter().copied().collect();
-        hosts[self.rng.random_range(0..hosts.len())]
-    }
-
-    fn start_new_host(&mut self) {
-        // Settings name hosts that run when they are written.
-        self.world.set_seeds(self.hosts.iter().copied().take(3).collect());
-        let host = HostId(self.next_host);
-        self.next_host += 1;
-        self.world.boot(host, false);
-        self.hosts.insert(host);
-    }
-
     /// Takes hosts away for good, each with or without a word.
     fn remove_hosts(&mut self, hosts: &BTreeSet<HostId>) {
         let mut silent = false;
         for host in hosts {
-            match self.rng.random_range(0..2) {
-                0 => self.world.stop(*host),
+            match self.base.rng.random_range(0..2) {
+                0 => self.base.world.stop(*host),
                 _ => {
-                    self.world.kill(*host);
+                    self.base.world.kill(*host);
                     silent = true;
                 }
             }
-            self.hosts.remove(host);
+            self.base.hosts.remove(host);
             if silent {
-                self.calm_from = self.calm_from.max(self.world.now + DETECTION_TIME);
+                self.calm_from = self.calm_from.max(self.base.world.now + DETECTION_TIME);
             }
-            self.run_for(0, 2_000);
+            self.base.run_for(0, 2_000);
         }
     }
 
     /// Replaces some hosts, the new ones first or the old ones first.
     fn replace_hosts(&mut self) {
         self.wait_until_calm();
-        let count = self.rng.random_range(1..=self.tolerated);
-        let old: BTreeSet<HostId> = (0..count).map(|_| self.pick_host()).collect();
-        let new_first = self.rng.random_range(0..3) > 0;
+        let count = self.base.rng.random_range(1..=self.base.tolerated);
+        let old: BTreeSet<HostId> = (0..count).map(|_| self.base.pick_host()).collect();
+        let new_first = self.base.rng.random_range(0..3) > 0;
         if new_first {
             for _ in &old {
-                self.start_new_host();
-                self.run_for(0, 3_000);
+                self.base.start_new_host();
+                self.base.run_for(0, 3_000);
             }
-            self.world.run(CATCH_UP_TIME);
-            self.run_for(0, 4_000);
+            self.base.world.run(CATCH_UP_TIME);
+            self.base.run_for(0, 4_000);
             // Also while there are more hosts than usual, and their number is even.
-            if self.rng.random_range(0..3) == 0 {
+            if self.base.rng.random_range(0..3) == 0 {
                 self.restart_in_turn();
                 self.wait_until_calm();
             }
         }
         self.remove_hosts(&old);
         if !new_first {
-            old.iter().for_each(|_| self.start_new_host());
-            self.calm_from = self.calm_from.max(self.world.now + CATCH_UP_TIME);
+            old.iter().for_each(|_| self.base.start_new_host());
+            self.calm_from = self.calm_from.max(self.base.world.now + CATCH_UP_TIME);
         }
     }
 
     /// Adds a host for good.
     fn add_host(&mut self) {
-        if self.hosts.len() < MAX_HOSTS {
-            self.start_new_host();
-            self.run_for(0, 4_000);
+        if self.base.hosts.len() < MAX_HOSTS {
+            self.base.start_new_host();
+            self.base.run_for(0, 4_000);
         }
     }
 
     /// Stops all hosts and starts them again, one after the other.
     fn restart_in_turn(&mut self) {
-        for host in self.hosts.clone() {
-            self.world.stop(host);
-            self.run_for(100, 4_000);
-            self.world.boot(host, false);
-            self.run_for(500, 3_000);
+        for host in self.base.hosts.clone() {
+            self.base.world.stop(host);
+            self.base.run_for(100, 4_000);
+            self.base.world.boot(host, false);
+            self.base.run_for(500, 3_000);
         }
-        self.calm_from = self.world.now + CATCH_UP_TIME;
+        self.calm_from = self.base.world.now + CATCH_UP_TIME;
     }
 
     /// Kills some hosts, which lose their disks or not, and starts them again.
     fn lose_hosts(&mut self, with_disks: bool) {
         self.wait_until_calm();
-        let lost: BTreeSet<HostId> = (0..self.tolerated).map(|_| self.pick_host()).collect();
+        let lost = self.base.pick_lost_hosts();
         for host in &lost {
             match with_disks {
-                true => self.world.wipe(*host),
-                false => self.world.kill(*host),
+                true => self.base.world.wipe(*host),
+                false => self.base.world.kill(*host),
             }
         }
-        self.run_for(300, 3_000);
+        self.base.run_for(300, 3_000);
         for host in &lost {
-            self.world.boot(*host, false);
-            self.run_for(0, 300);
+            self.base.world.boot(*host, false);
+            self.base.run_for(0, 300);
         }
-        self.calm_from = self.world.now + CATCH_UP_TIME;
+        self.calm_from = self.base.world.now + CATCH_UP_TIME;
     }
 
     /// Kills all hosts at once and starts them again with their disks.
     fn restart_all(&mut self) {
-        let hosts = self.hosts.clone();
-        hosts.iter().for_each(|host| self.world.kill(*host));
+        let hosts = self.base.hosts.clone();
+        hosts.iter().for_each(|host| self.base.world.kill(*host));
         for host in &hosts {
-            self.run_for(0, 1_000 / hosts.len() as u64);
-            self.world.boot(*host, false);
+            self.base.run_for(0, 1_000 / hosts.len() as u64);
+            self.base.world.boot(*host, false);
         }
-        self.calm_from = self.calm_from.max(self.world.now + CATCH_UP_TIME);
+        self.calm_from = self.calm_from.max(self.base.world.now + CATCH_UP_TIME);
     }
 
     fn act(&mut self) {
-        match self.rng.random_range(0..13) {
+        match self.base.rng.random_range(0..13) {
             0..=5 => self.replace_hosts(),
             6 | 7 => self.restart_in_turn(),
             8 => self.lose_hosts(false),
@@ -187,20 +150,24 @@
             10 => self.restart_all(),
             _ => self.lose_hosts(true),
         }
-        if self.rng.random_range(0..2) == 0 {
+        if self.base.rng.random_range(0..2) == 0 {
             self.check_service();
         }
     }
 
     /// Control must accept a configuration and return what it accepted before.
     fn check_service(&mut self) {
-        self.version += 1;
-        let (seed, version) = (self.seed, self.version);
-        assert!(self.world.replace(version, RECOVERY_TIME), "seed {seed}: {:?}", self.hosts);
-        let leader = self.world.leader().expect("a leader");
-        let ticket = self.world.order(leader, OperatorOrder::ReadRoutes);
-        self.world.run(Duration::from_millis(300));
-        match self.world.answers.get(&ticket) {
+        self.base.version += 1;
+        let (seed, version) = (self.base.seed, self.base.version);
+        assert!(
+            self.base.world.replace(version, RECOVERY_TIME),
+            "seed {seed}: {:?}",
+            self.base.hosts
+        );
+        let leader = self.base.world.leader().expect("a leader");
+        let ticket = self.base.world.order(leader, OperatorOrder::ReadRoutes);
+        self.base.world.run(Duration::from_millis(300));
+        match self.base.world.answers.get(&ticket) {
             Some(OrderAnswer::Routes(table)) => assert_eq!(table.version, version, "seed {seed}"),
             // The leader has changed meanwhile.
             answer => assert!(!matches!(answer, Some(OrderAnswer::NoRoutes)), "seed {seed}"),
@@ -208,17 +175,21 @@
     }
 
     fn finish(mut self) {
-        self.world.run(RECOVERY_TIME);
+        self.base.world.run(RECOVERY_TIME);
         self.check_service();
-        let leader = self.world.leader().expect("a leader");
-        let voters = self.world.voters(leader);
-        assert!(voters.is_superset(&self.hosts), "seed {}: {voters:?}", self.seed);
+        let leader = self.base.world.leader().expect("a leader");
+        let voters = self.base.world.voters(leader);
+        assert!(voters.is_superset(&self.base.hosts), "seed {}: {voters:?}", self.base.seed);
         // One that is gone may stay where the number is odd, and no more losses are borne
         // without it.
-        let running = self.hosts.len();
+        let running = self.base.hosts.len();
         let borne = running - quorum_size(voters.len());
         let borne_without = running - quorum_size(running);
-        assert_eq!(borne, borne_without, "seed {}: {voters:?} of {:?}", self.seed, self.hosts);
+        assert_eq!(
+            borne, borne_without,
+            "seed {}: {voters:?} of {:?}",
+            self.base.seed, self.base.hosts
+        );
         self.lose_hosts(true);
         self.check_service();
     }
@@ -232,9 +203,7 @@
 /// lose a configuration or take a running host's vote for good.
 #[test]
 fn replacements_and_losses_in_seeded_schedules() {
-    let schedules = std::env::var("HAWTHORNSTACK_SCHEDULES").ok();
-    let schedules = schedules.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES);
-    for seed in 0..schedules {
+    for seed in 0..schedule_count(SCHEDULES) {
         let count = if seed % 3 == 0 { 5 } else { 3 };
         let mut schedule = VoterSchedule::new(seed, count);
         schedule.check_service();
