Add review case 12: a database that restarted empty is promoted

The chosen database starts again with nothing before it leads; the call is repeated for its id, and all acknowledged commits of a service with sync_replicas are lost.

--- a/review/stand-in-3/world.rs
+++ b/review/stand-in-3/world.rs
@@ -571,6 +571,42 @@
         leads.max_by_key(|db| db.term).map(|db| db.id.clone())
     }
 
+    pub fn has_db(&self, id: &str) -> bool {
+        self.dbs.lock().unwrap().iter().any(|db| db.id == id)
+    }
+
+    /// The database that was designated and does not lead yet.
+    pub fn promoting(&self) -> Option<String> {
+        let id = self.designated.lock().unwrap().clone();
+        (self.leader().as_ref() != Some(&id)).then_some(id)
+    }
+
+    /// A database that drains leaves and ends for good; one that still leads goes on.
+    pub fn leave(&self, id: &str) {
+        if self.leader().as_deref() == Some(id) {
+            self.log(&format!("{id} still leads and goes on"));
+            return;
+        }
+        let born = self.with_db(id, |db| db.born);
+        for core in CORES {
+            let path = format!("/Instances.Leave/{id}");
+            if self.http(core, "POST", &path, &format!("{{\"born\":{born}}}")).is_some_and(|(status, _)| status == 200) {
+                break;
+            }
+        }
+        self.log(&format!("{id} leaves"));
+        self.crash(id);
+    }
+
+    pub fn signal(&self, host: u8, name: &str) {
+        if let Some(child) = self.hosts.lock().unwrap().get_mut(&host) {
+            let _ = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
+            if name == "KILL" {
+                let _ = child.wait();
+            }
+        }
+    }
+
     pub fn drain(&self, id: &str) {
         self.log(&format!("{id} is released: it drains"));
         self.with_db(id, |db| (db.draining, db.changed) = (true, true));
