--- a/review/stand-in-3/world.rs
+++ b/review/stand-in-3/world.rs
@@ -546,7 +546,11 @@
             sleep_ms(5);
             bound = TcpListener::bind(self.at(number, DATABASE_PORT));
         }
+        let superseded = self.promotions.lock().unwrap().last().is_some_and(|last| last.id != id);
         let boot = self.with_db(id, |db| {
+            // "As a replica if another database was promoted."
+            db.leads &= !superseded;
+            db.deposed_at = None;
             if !keeps_log {
                 (db.leads, db.term) = (false, 0);
                 db.log.clear();
@@ -622,7 +626,8 @@
             else {
                 continue;
             };
-            for db in dbs.iter_mut().filter(|db| db.id != leader && db.running && !db.deaf) {
+            let follows = |db: &&mut Db| db.id != leader && db.running && !db.deaf && db.term <= term;
+            for db in dbs.iter_mut().filter(follows) {
                 if db.leads {
                     if db.deposed_at.is_none_or(|at| Instant::now() < at) {
                         continue;
