End a promotion request with the lead and the choice behind it

What the present primary committed in the second that it went on was acknowledged and lost.

Cause: a request ended by its time limit of 0.8 s alone, while a successor may act 0.3 s after the last contact with the leader; and it ended in order. Hyper's connection ran as a task of its own, which shut the connection down once the request was dropped, so that the network still delivered what it had. A call of a leader that went on leading could also outlast its change of primary and arrive during the next one.

Ruled out: SO_LINGER 0 alone (the connection's task sends its FIN first), and a reset at the time limit alone or with a shorter limit (a successor acts sooner, or a slow platform never gets a call through).

Change: each call has a permit, which ends when the lead may end as far as the voters have answered, when the leader steps down, and when the change of primary starts the term or chooses again. The request drives its connection itself and so resets it when it is dropped; the system resets it when the process ends. Right before each write the permit is looked at again, on the clock that counts suspensions, and the time for which data may stay unacknowledged is set to what is left of it, so that the kernel of a suspended process drops it. A leader that takes over a choice leaves it for 150 ms to a call of the earlier leader, whose process may be throttled for a tenth of a second.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -14,7 +14,7 @@
     },
     control_state::AuditRecord,
     identity::HostId,
-    instances::{InstanceDeparture, InstanceRecord},
+    instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     usage::CapChange,
 };
 use hawthornstack_wire::operators::StatusResponse;
@@ -26,12 +26,13 @@
 use super::{
     journal_thread::JournalThread,
     peer_links::{LinkEvent, PeerLink, accept_links},
+    promotion_calls::PromotionCalls,
     status_page::build_status_page,
     status_query::StatusQuery,
 };
 use crate::{
     clock::BootClock,
-    edges::{PromotionClient, PromotionOrder, UpstreamProtocol},
+    edges::{PromotionClient, UpstreamProtocol},
     kernel::KernelError,
     links::{bind_listener, host_address},
     metrics::HostMetrics,
@@ -148,7 +149,7 @@
         host,
         journal,
         upstreams,
-        promotions,
+        promotions: PromotionCalls::new(promotions),
         peers: HashMap::new(),
         entry_links: HashMap::new(),
         pending_orders: BTreeMap::new(),
@@ -179,7 +180,7 @@
     host: ControlHost,
     journal: JournalThread,
     upstreams: Rc<dyn UpstreamProtocol>,
-    promotions: Rc<dyn PromotionClient>,
+    promotions: PromotionCalls,
     peers: HashMap<HostId, PeerLink>,
     /// Number of the current link and its update queue, by entry host.
     entry_links: HashMap<HostId, (u64, mpsc::Sender<EntryUpdate>)>,
@@ -262,7 +263,9 @@
     }
 
     fn step(&mut self, event: ControlEvent) {
-        let effects = self.host.step(self.clock.now(), event);
+        let now = self.clock.now();
+        let effects = self.host.step(now, event);
+        self.promotions.follow_lead(self.host.lead(now));
         effects.into_iter().for_each(|effect| self.execute_effect(effect));
         let agreement = self.host.agreement();
         let connected = match agreement.is_leader() {
@@ -316,24 +319,9 @@
                 self.query_status(StatusQuery { key, service, address });
             }
             ControlEffect::Promote { service, key, fence } => {
-                let order =
-                    PromotionOrder { service: service.clone(), instance: key.id.clone(), fence };
-                tracing::info!(
-                    target: "control", %service, instance = %key, fence,
-                    "requesting the promotion of a database"
-                );
-                let request = self.promotions.promote(order);
-                let events = self.events.clone();
-                tokio::task::spawn_local(async move {
-                    let result = request.await;
-                    tracing::info!(
-                        target: "control", %service, instance = %key, ?result,
-                        "promotion request ended"
-                    );
-                    let event = ControlEvent::PromoteAnswered { service, key, result };
-                    let _ = events.send(ServiceEvent::Control(event));
-                });
+                self.request_promotion(service, key, fence);
             }
+            ControlEffect::EndPromotions(service) => self.promotions.end(&service),
             ControlEffect::Answer(ticket, answer) => {
                 if let Some(reply) = self.pending_orders.remove(&ticket) {
                     // The operator may be gone by now.
@@ -344,6 +332,26 @@
         }
     }
 
+    fn request_promotion(&mut self, service: Arc<str>, key: InstanceKey, fence: u64) {
+        let Some(request) = self.promotions.prepare(&service, &key, fence) else {
+            return;
+        };
+        tracing::info!(
+            target: "control", %service, instance = %key, fence,
+            "requesting the promotion of a database"
+        );
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            let result = request.await;
+            tracing::info!(
+                target: "control", %service, instance = %key, ?result,
+                "promotion request ended"
+            );
+            let event = ControlEvent::PromoteAnswered { service, key, result };
+            let _ = events.send(ServiceEvent::Control(event));
+        });
+    }
+
     /// Queues an update for an entry host. If its queue is full or closed, its
     /// link is closed: the entry host connects again and then gets the whole state.
     fn send_entry(&mut self, to: HostId, update: EntryUpdate) {
--- a/crates/daemon/src/control_role/mod.rs
+++ b/crates/daemon/src/control_role/mod.rs
@@ -6,6 +6,7 @@
 mod control_service;
 mod journal_thread;
 mod peer_links;
+mod promotion_calls;
 mod status_page;
 mod status_query;
 
--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -3,6 +3,7 @@
 //! them is the same for all protocols.
 
 mod caller_protocol;
+mod lead_permit;
 mod promotion_client;
 mod upstream_protocol;
 
@@ -10,6 +11,7 @@
     CallerProtocol, CallerRefusal, CallerRequest, CallerStatement, MalformedRequest, SessionPhase,
     StatementAction,
 };
+pub use lead_permit::LeadPermit;
 pub use promotion_client::{PromotionClient, PromotionOrder};
 pub use upstream_protocol::{
     ForwardUrgency, ForwardedCommand, MalformedReply, ReadTerms, UpstreamCode, UpstreamCommand,
--- a/crates/daemon/src/edges/promotion_client.rs
+++ b/crates/daemon/src/edges/promotion_client.rs
@@ -2,6 +2,8 @@
 
 use hawthornstack_decisions::control_role::PromoteResult;
 
+use super::LeadPermit;
+
 /// An order to make a database the primary of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromotionOrder {
@@ -15,6 +17,11 @@
 
 /// Client of the system that promotes databases.
 pub trait PromotionClient {
-    /// Sends the order and returns how it was answered.
-    fn promote(&self, order: PromotionOrder) -> Pin<Box<dyn Future<Output = PromoteResult>>>;
+    /// Sends the order and returns how it was answered. Nothing may be sent once the permit has
+    /// ended, and nothing may arrive once the returned future has been dropped.
+    fn promote(
+        &self,
+        order: PromotionOrder,
+        permit: LeadPermit,
+    ) -> Pin<Box<dyn Future<Output = PromoteResult>>>;
 }
--- a/crates/decisions/src/agreement/agreement_state.rs
+++ b/crates/decisions/src/agreement/agreement_state.rs
@@ -365,12 +365,18 @@
     /// True if this host leads, has committed an entry of its own term, and
     /// holds a valid lease, so that no other leader can exist.
     pub fn is_current_leader(&self, now: Moment) -> bool {
+        self.lead_ends_at(now).is_some_and(|end| now < end)
+    }
+
+    /// Time before which no other leader can exist, as far as the voters have answered by now;
+    /// `None` if this host does not lead or has not committed an entry of its own term.
+    pub fn lead_ends_at(&self, now: Moment) -> Option<Moment> {
         let AgreementRole::Leader(leader) = &self.role else {
-            return false;
+            return None;
         };
         let lease = self.settings.election_timeout * LEADER_LEASE_PERCENT / 100;
-        let quorum_at = self.quorum_contact_time(leader, now);
-        self.commit >= leader.first_index && now.since(quorum_at) < lease
+        let has_committed = self.commit >= leader.first_index;
+        has_committed.then(|| self.quorum_contact_time(leader, now) + lease)
     }
 
     /// The host that a new set of voters adds, with the id of its disk.
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -177,7 +177,9 @@
         /// Address of the database.
         address: SocketAddr,
     },
-    /// Ask the platform to promote a database.
+    /// Ask the platform to promote a database. The call must end with the lead of the term
+    /// `fence`, see [`ControlHost::lead`](super::ControlHost::lead): from then on another
+    /// leader may promote another database.
     Promote {
         /// The service.
         service: Arc<str>,
@@ -186,6 +188,9 @@
         /// Fencing token, which grows with each leader.
         fence: u64,
     },
+    /// End the calls that promote databases of this service; nothing of them may arrive from
+    /// now on.
+    EndPromotions(Arc<str>),
     /// Answer an order.
     Answer(u64, OrderAnswer),
     /// Write an event to the log.
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -22,7 +22,7 @@
     control_state::{ControlCommand, ControlState},
     identity::HostId,
     instances::InstanceDirectory,
-    leases::LeaseTable,
+    leases::{HeldLead, LeaseTable},
     primaries::{CatchUpProbe, SuspicionPoll, TermChange},
     send_pace::SendPace,
     usage::UsageLedger,
@@ -224,7 +224,14 @@
 
     /// True if this host is the leader and no other leader can exist yet.
     pub fn is_current_leader(&self, now: Moment) -> bool {
-        self.leader_state.is_some() && self.agreement.is_current_leader(now)
+        self.lead(now).is_some()
+    }
+
+    /// The lead that this host holds; `None` if it does not lead, or another leader can exist.
+    pub fn lead(&self, now: Moment) -> Option<HeldLead> {
+        self.leader_state.as_ref()?;
+        let ends_at = self.agreement.lead_ends_at(now).filter(|end| now < *end)?;
+        Some(HeldLead { term: self.agreement.term(), ends_at })
     }
 
     /// The leader that this host follows; `None` if it leads itself or knows no leader.
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -330,9 +330,11 @@
                 self.effects.push(ControlEffect::Promote { service, key, fence });
             }
             TermStep::Start { drained } => {
+                self.effects.push(ControlEffect::EndPromotions(service.clone()));
                 self.propose(now, ControlCommand::ServiceTermStarted { service, number, drained });
             }
             TermStep::Restart => {
+                self.effects.push(ControlEffect::EndPromotions(service.clone()));
                 self.propose(
                     now,
                     ControlCommand::ServiceTermEnded { service, number, planned: false },
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -26,6 +26,9 @@
 const OLD_PRIMARY_EXCLUSION: Duration = Duration::from_millis(1_000);
 /// Time between two calls that promote the same database.
 const PROMOTE_RETRY_INTERVAL: Duration = Duration::from_millis(700);
+/// Time for which a leader leaves a choice of an earlier one to the call that may be on its way:
+/// a throttled process may end its calls a tenth of a second after its lead.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(150);
 /// Time after which another database is chosen if this one has not become
 /// primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -103,6 +106,8 @@
     promoted_at: Option<Moment>,
     excluded: BTreeSet<InstanceKey>,
     proposed: bool,
+    /// An earlier leader may have asked for the promotion that is due in this phase.
+    taken_over: bool,
 }
 
 /// State of the hosts that may use the old primary, as known to the leader.
@@ -143,6 +148,7 @@
             promoted_at: None,
             excluded: BTreeSet::new(),
             proposed: false,
+            taken_over: matches!(term.phase, TermPhase::Promoting { .. }),
         }
     }
 
@@ -154,7 +160,7 @@
     /// Creates the state for the next phase; databases that were excluded stay
     /// so.
     pub fn next_phase(&self, now: Moment, term: &ServiceTerm) -> Self {
-        Self { excluded: self.excluded.clone(), ..Self::new(now, term) }
+        Self { excluded: self.excluded.clone(), taken_over: false, ..Self::new(now, term) }
     }
 
     /// Records the answer to a status request, `None` if there was none in time.
@@ -416,7 +422,10 @@
             return vec![TermStep::Restart];
         }
         let mut steps = Vec::new();
-        if self.promoted_at.is_none_or(|at| now.since(at) >= PROMOTE_RETRY_INTERVAL) {
+        let is_left_to_earlier_leader =
+            self.taken_over && now.since(self.started_at) < TAKEOVER_WAIT;
+        let is_due = self.promoted_at.is_none_or(|at| now.since(at) >= PROMOTE_RETRY_INTERVAL);
+        if is_due && !is_left_to_earlier_leader {
             self.promoted_at = Some(now);
             steps.push(TermStep::Promote(chosen.clone()));
         }
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, missing_docs, unused_imports)]
 
 mod host_schedule;
+mod promotion_calls;
 mod records;
 mod schedule_count;
 
@@ -28,6 +29,7 @@
 };
 
 pub use host_schedule::HostSchedule;
+use promotion_calls::{PromotionCall, PromotionCalls};
 pub use records::{departure_of, instance, numbered_instance, renewal, table};
 pub use schedule_count::schedule_count;
 
@@ -87,6 +89,7 @@
     /// Control hosts that sent the updates, in the same order.
     pub update_senders: Vec<HostId>,
     pub promoted: Vec<(Moment, HostId, InstanceKey, u64)>,
+    promotion_calls: PromotionCalls,
     pub instances: BTreeMap<Arc<str>, InstanceRecord>,
     /// Terms that databases lead or follow, 1 unless listed.
     pub database_terms: BTreeMap<Arc<str>, u64>,
@@ -121,6 +124,7 @@
             kept_appends: None,
             update_senders: Vec::new(),
             promoted: Vec::new(),
+            promotion_calls: PromotionCalls::default(),
             instances: BTreeMap::new(),
             database_terms: BTreeMap::new(),
             log_ends: BTreeMap::new(),
@@ -192,6 +196,7 @@
             host.host = None;
             host.unsynced.clear();
         }
+        self.promotion_calls.end_all(id);
         for other in self.hosts.values_mut() {
             other.linked.remove(&id);
         }
@@ -399,11 +404,25 @@
             return;
         };
         let effects = host.step(now, event);
+        self.promotion_calls.follow_lead(now, id, host.lead(now));
         for effect in effects {
             self.execute_effect(id, effect);
         }
     }
 
+    fn record_call(&mut self, id: HostId, service: &Arc<str>, key: &InstanceKey, fence: u64) {
+        let lead = self.host(id).and_then(|host| host.lead(self.now)).expect("a lead");
+        assert_eq!(lead.term, fence);
+        let call = PromotionCall {
+            host: id,
+            service: service.clone(),
+            key: key.clone(),
+            fence,
+            ends_at: lead.ends_at,
+        };
+        self.promotion_calls.send(self.now, call);
+    }
+
     fn can_reach(&self, from: HostId, to: HostId) -> bool {
         !self.cut_links.contains(&(from, to))
             && self.hosts.get(&to).is_some_and(|h| h.host.is_some())
@@ -482,7 +501,9 @@
                 let event = ControlEvent::StatusAnswered(key, status);
                 self.schedule(2 * LINK_DELAY, SimulatedEvent::Delivered { to: id, boot, event });
             }
+            ControlEffect::EndPromotions(service) => self.promotion_calls.end(id, &service),
             ControlEffect::Promote { service, key, fence } => {
+                self.record_call(id, &service, &key, fence);
                 self.promoted.push((self.now, id, key.clone(), fence));
                 let result = match self.instances.contains_key(&key.id) {
                     true => PromoteResult::Accepted,
