Reset a connection that is given up with a statement unanswered

A commit that an entry host had given up, because its time was over or its primary replaced, could still reach the database: the connection was closed in order, so that what the network held up was delivered later, possibly to a database that leads again.

Change: a connection to a database or a gateway that is dropped before all that was sent has been answered is reset. A gateway that runs a write or a commit for another host gives it up, in the same way, once that host closes its connection; reads go on, since their connections can be used again.

given_up_statements failed before (the connection was not reset within 30 s) and passes now, with a database that is reached directly and through a gateway.

--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -77,12 +77,12 @@
     while let Some(line) = read_command(shared, lines, link.is_idle()).await? {
         out.clear();
         let command = shared.upstreams.decode_forwarded(&line).map_err(io::Error::other)?;
-        link.run_command(command, &mut out).await?;
+        link.run_command(command, lines, &mut out).await?;
         // Statements that restore the session arrive together with the statement
         // that needs them; all are answered at once.
         while let Some(line) = lines.take_buffered_line()? {
             let command = shared.upstreams.decode_forwarded(&line).map_err(io::Error::other)?;
-            link.run_command(command, &mut out).await?;
+            link.run_command(command, lines, &mut out).await?;
         }
         lines.send(&out).await?;
     }
@@ -124,10 +124,11 @@
     async fn run_command(
         &mut self,
         command: ForwardedCommand,
+        lines: &LineStream,
         out: &mut Vec<u8>,
     ) -> io::Result<()> {
         match self {
-            Self::Database(link) => link.run_command(command, out).await,
+            Self::Database(link) => link.run_command(command, lines, out).await,
             Self::Reads(reads) => reads.run_command(command, out).await,
         }
     }
@@ -187,10 +188,12 @@
     /// # Errors
     /// If the connection to the database failed: the connection of the other host
     /// must then be closed too, since the statement may have run. Also if the
-    /// command is not allowed in the current state.
+    /// command is not allowed in the current state, or if the other host has given
+    /// up a write: it must not run later.
     async fn run_command(
         &mut self,
         command: ForwardedCommand,
+        lines: &LineStream,
         out: &mut Vec<u8>,
     ) -> io::Result<()> {
         match command {
@@ -218,12 +221,32 @@
                     }
                     self.encode_done(out);
                 }
+                _ if self.may_commit(&statement) => {
+                    return tokio::select! {
+                        biased;
+                        result = self.run_statement(&statement, after, out) => result,
+                        () = lines.closed() => Err(io::ErrorKind::ConnectionAborted.into()),
+                    };
+                }
                 _ => return self.run_statement(&statement, after, out).await,
             },
         }
         Ok(())
     }
 
+    /// True if the statement commits a write: outside a transaction, or as its end.
+    fn may_commit(&self, statement: &CallerStatement) -> bool {
+        match &statement.action {
+            StatementAction::Write => self.pinned.is_none(),
+            StatementAction::Execute { name, .. } => {
+                let writes = self.state.prepared.get(name).is_some_and(|prepared| prepared.writes);
+                writes && self.pinned.is_none()
+            }
+            StatementAction::Commit => true,
+            _ => false,
+        }
+    }
+
     fn encode_done(&self, out: &mut Vec<u8>) {
         self.shared.callers.encode_done(out);
         self.shared.callers.encode_ready(out, self.phase(), None);
--- a/crates/daemon/src/entry_role/upstream_link.rs
+++ b/crates/daemon/src/entry_role/upstream_link.rs
@@ -66,10 +66,12 @@
     pub(super) position: Option<LogPosition>,
 }
 
-/// A connection to a database, and the session state set on it.
+/// A connection to a database, and the session state set on it. It is reset if it is given up
+/// before all that was sent has been answered.
 #[derive(Debug)]
 pub(super) struct UpstreamLink {
     lines: LineStream,
+    awaits_answer: bool,
     pub(super) state: ConnectionState,
     pub(super) opened_at: Instant,
 }
@@ -93,7 +95,7 @@
         prepare_socket(&stream, UPSTREAM_ACK_TIMEOUT).map_err(|_| OpenError::Unreachable)?;
         let (lines, state) = (LineStream::new(stream), ConnectionState::default());
         let opened_at = Instant::now();
-        let mut link = Self { lines, state, opened_at };
+        let mut link = Self { lines, awaits_answer: false, state, opened_at };
         let mut out = Vec::new();
         let (service, instance) = (target.service(), target.instance_id());
         let client = workspace.map_or(host_name, |workspace| &**workspace);
@@ -137,6 +139,7 @@
         out: &[u8],
         restore_count: usize,
     ) -> Result<UpstreamAnswer, LinkError> {
+        self.awaits_answer = true;
         self.lines.send(out).await.map_err(|_| LinkError::Broken)?;
         for _ in 0..restore_count {
             let answer = self.read_answer(protocol).await?;
@@ -145,6 +148,7 @@
             }
         }
         let answer = self.read_answer(protocol).await?;
+        self.awaits_answer = false;
         self.lines.shrink();
         Ok(answer)
     }
@@ -201,6 +205,15 @@
     }
 }
 
+impl Drop for UpstreamLink {
+    fn drop(&mut self) {
+        if self.awaits_answer {
+            // A statement that the network holds up must not run once it has been given up.
+            self.lines.reset_on_close();
+        }
+    }
+}
+
 /// Appends the statements that restore the session state.
 pub(super) fn encode_steps(
     protocol: &dyn UpstreamProtocol,
--- a/crates/daemon/src/links/line_stream.rs
+++ b/crates/daemon/src/links/line_stream.rs
@@ -1,7 +1,8 @@
-use std::io;
+use std::{future::pending, io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -116,6 +117,20 @@
         }
     }
 
+    /// Makes the connection end with a reset, by which what is still on its way is lost.
+    pub fn reset_on_close(&self) {
+        // An error means that the connection has ended already.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
+    /// Waits until the peer has closed or reset the connection; without end if it has sent
+    /// data that was not read. Cancel safe.
+    pub async fn closed(&self) {
+        if matches!(self.stream.peek(&mut [0]).await, Ok(unread) if unread > 0) {
+            pending::<()>().await;
+        }
+    }
+
     /// True if no data has arrived and the peer has not closed the connection: only
     /// then may a pooled connection be used again. May consume a byte if false.
     pub fn is_idle(&self) -> bool {
