Do not send the commit of a write once the lease or the term has ended

A host that lost its lease while a transaction was open still sent its COMMIT to the database that it knew as the primary, which obeyed it, also after its successor had been promoted. The caller was told that the commit was in doubt, and could not repeat the transaction.

Cause: the lease and the term were looked at when a connection was assigned and when an answer came, but not between the statements of a transaction.

Change: the COMMIT of a transaction that wrote is refused as aborted, and the transaction is rolled back, if its answer could not be given to the caller.

commit_is_not_sent_after_the_lease failed before (INDOUBT, and the commit took effect) and passes now.

--- a/crates/daemon/src/entry_role/transaction_run.rs
+++ b/crates/daemon/src/entry_role/transaction_run.rs
@@ -172,6 +172,16 @@
                 self.pinned = Some(connection);
                 return self.refuse_caller(error, statement);
             }
+            if commits
+                && self.wrote
+                && !self.accepts_answer(&connection.service, connection.term_number)
+            {
+                // Its answer could not be given to the caller.
+                spawn_rollback(&self.shared, connection);
+                self.state.transaction = TransactionPhase::Idle;
+                let hint = "the primary was replaced before the commit; nothing is kept";
+                return CallerReply::Refused(CallerRefusal::Aborted, hint);
+            }
             let mut out = Vec::with_capacity(statement.text.len() + 64);
             let Some(link) = connection.pooled.link() else {
                 return self.abort_transaction("the connection is gone");
