--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -317,6 +317,27 @@
     assert!(fences.windows(2).all(|pair| pair[0].1 < pair[1].1), "{fences:?}");
 }
 
+/// The call of a leader that is cut off may be on its way until its process has noticed the end
+/// of its lead; `ControlWorld` fails if a call of the next leader may arrive before it.
+#[test]
+fn next_leader_leaves_a_choice_to_the_call_on_its_way() {
+    for delay_ms in 0..60 {
+        let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+        world.run(Duration::from_millis(delay_ms));
+        report_reachability(&mut world, leader, FIRST_ENTRY, false);
+        world.run(SECOND / 100);
+        world.renew_lease(leader, FIRST_ENTRY);
+        world.promotion_time = 60 * SECOND;
+        while world.promoted.is_empty() {
+            world.run(Duration::from_millis(1));
+        }
+        world.isolate(leader, &[1, 2, 3].map(HostId), true);
+        world.run(3 * SECOND);
+        let next = world.promoted.iter().any(|(_, host, ..)| *host != leader);
+        assert!(next, "{:?}", world.promoted);
+    }
+}
+
 #[test]
 fn departed_primary_is_replaced() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
