Ignore answers of databases to questions from before the decision they are used for

With sync_replicas a database without the last acknowledged commits could be promoted, if an answer to a status request arrived late (shown in the simulation, not by callers so far).

Cause: an answer did not tell when it had been asked for. The primary's answer to a request from before its term ended, held up by the network, counted as the end of its log, and even replaced a newer one; its answer to a request from before a replica was lost counted as all that the replica may have held alone.

Change: each answer is reported with the time of its request. A change of primary ignores answers to requests from before the fence, or from before its present phase, and those older than one that it has; the probe of lost replicas ignores those from before the loss.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -8,6 +8,7 @@
 };
 
 use hawthornstack_decisions::{
+    clock::Moment,
     control_role::{
         ControlEffect, ControlEvent, ControlHost, ControlLogEvent, ControlSettings, EntryUpdate,
         OperatorOrder, OrderAnswer,
@@ -315,8 +316,8 @@
             }
             ControlEffect::SendEntry(to, update) => self.send_entry(to, update),
             ControlEffect::Persist { number, records } => self.journal.persist(number, records),
-            ControlEffect::AskStatus { key, service, address } => {
-                self.query_status(StatusQuery { key, service, address });
+            ControlEffect::AskStatus { key, service, address, asked_at } => {
+                self.query_status(StatusQuery { key, service, address }, asked_at);
             }
             ControlEffect::Promote { service, key, fence } => {
                 self.request_promotion(service, key, fence);
@@ -367,13 +368,13 @@
         }
     }
 
-    fn query_status(&self, query: StatusQuery) {
+    fn query_status(&self, query: StatusQuery, asked_at: Moment) {
         let (upstreams, events) = (self.upstreams.clone(), self.events.clone());
         let client = self.options.name.clone();
         tokio::task::spawn_local(async move {
             let status = query.run(&*upstreams, &client).await;
             tracing::info!(target: "control", instance = %query.key, ?status, "status query ended");
-            let event = ControlEvent::StatusAnswered(query.key, status);
+            let event = ControlEvent::StatusAnswered { key: query.key, asked_at, status };
             let _ = events.send(ServiceEvent::Control(event));
         });
     }
--- a/crates/decisions/src/control_role/catch_up_flow.rs
+++ b/crates/decisions/src/control_role/catch_up_flow.rs
@@ -37,14 +37,14 @@
             .entry(term.service.clone())
             .and_modify(|probe| {
                 if !probe.matches_term(term) {
-                    *probe = CatchUpProbe::new(term);
+                    *probe = CatchUpProbe::new(now, term);
                 }
             })
-            .or_insert_with(|| CatchUpProbe::new(term));
+            .or_insert_with(|| CatchUpProbe::new(now, term));
         let replicas = replicas_of(&self.directory, term);
         let requests: Vec<InstanceKey> = probe.next_requests(now, replicas);
         for key in requests {
-            self.request_status(term.service.clone(), key);
+            self.request_status(now, term.service.clone(), key);
         }
         self.cover_losses(now, term);
     }
--- a/crates/decisions/src/control_role/control_event.rs
+++ b/crates/decisions/src/control_role/control_event.rs
@@ -3,6 +3,7 @@
 use super::{ControlMessage, EntryReport, EntryUpdate};
 use crate::{
     agreement::JournalRecord,
+    clock::Moment,
     identity::HostId,
     instances::{InstanceDeparture, InstanceKey, InstanceRecord},
     primaries::InstanceStatus,
@@ -87,8 +88,15 @@
     Announced(InstanceRecord),
     /// A database announced its departure to this host.
     Departed(InstanceDeparture),
-    /// A status request to a database ended; `None` if it got no answer.
-    StatusAnswered(InstanceKey, Option<InstanceStatus>),
+    /// A status request to a database ended.
+    StatusAnswered {
+        /// The database.
+        key: InstanceKey,
+        /// Time at which it was asked, from [`ControlEffect::AskStatus`].
+        asked_at: Moment,
+        /// Its answer, `None` if it gave none.
+        status: Option<InstanceStatus>,
+    },
     /// The call to promote a database ended.
     PromoteAnswered {
         /// The service.
@@ -176,6 +184,8 @@
         service: Arc<str>,
         /// Address of the database.
         address: SocketAddr,
+        /// Time of the request on this host's clock, to be reported back.
+        asked_at: Moment,
     },
     /// Ask the platform to promote a database. The call must end with the lead of the term
     /// `fence`, see [`ControlHost::lead`](super::ControlHost::lead): from then on another
--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -160,8 +160,8 @@
             }
             ControlEvent::Announced(record) => self.handle_announcement(now, record),
             ControlEvent::Departed(departure) => self.handle_departure(now, departure),
-            ControlEvent::StatusAnswered(key, status) => {
-                self.handle_status_answer(now, key, status)
+            ControlEvent::StatusAnswered { key, asked_at, status } => {
+                self.handle_status_answer(now, key, asked_at, status)
             }
             ControlEvent::PromoteAnswered { service, key, result } => {
                 self.handle_promote_answer(now, &service, key, result);
--- a/crates/decisions/src/control_role/term_flow.rs
+++ b/crates/decisions/src/control_role/term_flow.rs
@@ -319,7 +319,7 @@
     fn execute_step(&mut self, now: Moment, term: &ServiceTerm, step: TermStep) {
         let (service, number) = (term.service.clone(), term.number);
         match step {
-            TermStep::AskStatus(key) => self.request_status(service, key),
+            TermStep::AskStatus(key) => self.request_status(now, service, key),
             TermStep::Choose { chosen, above_term } => {
                 let command =
                     ControlCommand::ServicePrimaryChosen { service, number, chosen, above_term };
@@ -343,10 +343,11 @@
         }
     }
 
-    pub(super) fn request_status(&mut self, service: Arc<str>, key: InstanceKey) {
+    pub(super) fn request_status(&mut self, now: Moment, service: Arc<str>, key: InstanceKey) {
         if let Some(record) = self.directory.get(&key.id) {
             let address = record.address;
-            self.effects.push(ControlEffect::AskStatus { key, service, address });
+            let asked_at = now;
+            self.effects.push(ControlEffect::AskStatus { key, service, address, asked_at });
         }
     }
 
@@ -354,6 +355,7 @@
         &mut self,
         now: Moment,
         key: InstanceKey,
+        asked_at: Moment,
         status: Option<InstanceStatus>,
     ) {
         let Some(service) = self.directory.get(&key.id).map(|record| record.service.clone()) else {
@@ -363,10 +365,10 @@
             return;
         };
         if let (Some(probe), Some(status)) = (leader_state.catch_ups.get_mut(&service), status) {
-            probe.record(now, &key, status.received);
+            probe.record(now, &key, asked_at, status.received);
         }
         if let Some(change) = leader_state.changes.get_mut(&service) {
-            change.record_status(key, status);
+            change.record_status(key, asked_at, status);
             self.request_leader_tasks(now);
         }
     }
--- a/crates/decisions/src/primaries/catch_up_probe.rs
+++ b/crates/decisions/src/primaries/catch_up_probe.rs
@@ -19,6 +19,7 @@
 /// ago.
 #[derive(Debug)]
 pub struct CatchUpProbe {
+    began_at: Moment,
     primary: InstanceKey,
     lost: Vec<InstanceKey>,
     asked_at: Option<Moment>,
@@ -28,10 +29,11 @@
 }
 
 impl CatchUpProbe {
-    /// Creates the probe of a term's primary.
-    pub fn new(term: &ServiceTerm) -> Self {
+    /// Creates the probe of a term's primary, which begins now.
+    pub fn new(now: Moment, term: &ServiceTerm) -> Self {
         let lost = term.lost_databases.iter().map(|holder| holder.key.clone()).collect();
         Self {
+            began_at: now,
             primary: term.primary.clone(),
             lost,
             asked_at: None,
@@ -60,8 +62,18 @@
         replicas.map(|record| record.key.clone()).chain([self.primary.clone()]).collect()
     }
 
-    /// Records the position that a database reported.
-    pub fn record(&mut self, now: Moment, key: &InstanceKey, received: LogPosition) {
+    /// Records the position that a database reported when it was asked at `asked_at`. What it had
+    /// before the probe began does not tell what a database that was lost since may have held.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        key: &InstanceKey,
+        asked_at: Moment,
+        received: LogPosition,
+    ) {
+        if asked_at < self.began_at {
+            return;
+        }
         if *key == self.primary {
             if self.target.is_none_or(|(at, _)| now.since(at) >= TARGET_LIFETIME) {
                 self.target = Some((now, received));
--- a/crates/decisions/src/primaries/log_reports.rs
+++ b/crates/decisions/src/primaries/log_reports.rs
@@ -2,6 +2,7 @@
 
 use super::{InstanceStatus, ServiceTerm, SuccessionRules};
 use crate::{
+    clock::Moment,
     instances::{InstanceKey, InstanceRecord},
     positions::LogPosition,
 };
@@ -13,6 +14,8 @@
     statuses: BTreeMap<InstanceKey, InstanceStatus>,
     /// Databases that did not answer the last request.
     silent: BTreeSet<InstanceKey>,
+    /// Time of the last request that each database answered, or left without an answer.
+    asked_at: BTreeMap<InstanceKey, Moment>,
 }
 
 impl LogReports {
@@ -20,8 +23,18 @@
         *self = Self::default();
     }
 
-    /// Records the answer to a status request, `None` if there was none in time.
-    pub(super) fn record(&mut self, key: InstanceKey, status: Option<InstanceStatus>) {
+    /// Records the answer to a status request, `None` if there was none in time; ignored if the
+    /// outcome of a later request is known.
+    pub(super) fn record(
+        &mut self,
+        key: InstanceKey,
+        asked_at: Moment,
+        status: Option<InstanceStatus>,
+    ) {
+        if self.asked_at.get(&key).is_some_and(|known| *known > asked_at) {
+            return;
+        }
+        self.asked_at.insert(key.clone(), asked_at);
         match status {
             Some(status) => {
                 self.silent.remove(&key);
--- a/crates/decisions/src/primaries/term_change.rs
+++ b/crates/decisions/src/primaries/term_change.rs
@@ -163,9 +163,18 @@
         Self { excluded: self.excluded.clone(), taken_over: false, ..Self::new(now, term) }
     }
 
-    /// Records the answer to a status request, `None` if there was none in time.
-    pub fn record_status(&mut self, key: InstanceKey, status: Option<InstanceStatus>) {
-        self.reports.record(key, status);
+    /// Records the answer to a status request, `None` if there was none in time. An answer to a
+    /// request from before this phase, or from before the old primary was fenced, is ignored:
+    /// logs may have grown since.
+    pub fn record_status(
+        &mut self,
+        key: InstanceKey,
+        asked_at: Moment,
+        status: Option<InstanceStatus>,
+    ) {
+        if asked_at >= self.fenced_at.unwrap_or(self.started_at) {
+            self.reports.record(key, asked_at, status);
+        }
     }
 
     /// Excludes a database that the platform reports as not running.
--- a/crates/decisions/tests/control_world/mod.rs
+++ b/crates/decisions/tests/control_world/mod.rs
@@ -95,6 +95,8 @@
     pub database_terms: BTreeMap<Arc<str>, u64>,
     /// Ends of the databases' logs, entry 1 of term 1 unless listed.
     pub log_ends: BTreeMap<Arc<str>, LogPosition>,
+    /// Times after which databases' answers to status requests arrive, unless they arrive at once.
+    pub status_delays: BTreeMap<Arc<str>, Duration>,
     /// `sync_replicas` of the service in configurations given from now on.
     pub sync_replicas: u32,
     /// Disks of control hosts that may be lost at once, as set at the next start of one.
@@ -128,6 +130,7 @@
             instances: BTreeMap::new(),
             database_terms: BTreeMap::new(),
             log_ends: BTreeMap::new(),
+            status_delays: BTreeMap::new(),
             sync_replicas: 0,
             tolerated_losses: Some(count as usize / 2),
             promotion_time: Duration::ZERO,
@@ -491,15 +494,16 @@
                 let (boot, delay) = (host.boot, host.disk_free_at.since(now));
                 self.schedule(delay, SimulatedEvent::Synced { host: id, boot, number, records });
             }
-            ControlEffect::AskStatus { key, .. } => {
+            ControlEffect::AskStatus { key, asked_at, .. } => {
                 let status = self.instances.get(&key.id).map(|record| InstanceStatus {
                     role: record.role,
                     term: self.database_terms.get(&key.id).copied().unwrap_or(1),
                     received: self.log_ends.get(&key.id).copied().unwrap_or(LogPosition::new(1, 1)),
                 });
                 let boot = self.hosts[&id].boot;
-                let event = ControlEvent::StatusAnswered(key, status);
-                self.schedule(2 * LINK_DELAY, SimulatedEvent::Delivered { to: id, boot, event });
+                let delay = self.status_delays.get(&key.id).copied().unwrap_or(2 * LINK_DELAY);
+                let event = ControlEvent::StatusAnswered { key, asked_at, status };
+                self.schedule(delay, SimulatedEvent::Delivered { to: id, boot, event });
             }
             ControlEffect::EndPromotions(service) => self.promotion_calls.end(id, &service),
             ControlEffect::Promote { service, key, fence } => {
--- a/crates/decisions/tests/successor_choice.rs
+++ b/crates/decisions/tests/successor_choice.rs
@@ -33,6 +33,8 @@
     term: ServiceTerm,
     change: TermChange,
     rules: SuccessionRules,
+    /// Time of the last steps, at which the answers after them were asked for.
+    now: Moment,
 }
 
 impl Failover {
@@ -60,11 +62,12 @@
             ..ServiceTerm::new(Arc::from("books"), 1, 5, primary.key)
         };
         let change = TermChange::new(START, &term);
-        Self { directory, term, change, rules: RULES }
+        Self { directory, term, change, rules: RULES, now: START }
     }
 
     fn steps_after(&mut self, time: Duration) -> Vec<TermStep> {
-        let now = START + time;
+        self.now = START + time;
+        let now = self.now;
         let leases = LeaseTable::new(START, Duration::ZERO);
         let view =
             HolderView { holders: &BTreeSet::new(), leases: &leases, applied: &BTreeMap::new() };
@@ -74,7 +77,8 @@
     fn answer(&mut self, id: &str, offset: u64) {
         let received = LogPosition::new(1, offset);
         let status = InstanceStatus { role: InstanceRole::Replica, term: 1, received };
-        self.change.record_status(InstanceKey { id: Arc::from(id), born_ms: 1 }, Some(status));
+        let key = InstanceKey { id: Arc::from(id), born_ms: 1 };
+        self.change.record_status(key, self.now, Some(status));
     }
 }
 
@@ -212,7 +216,7 @@
     let key = InstanceKey { id: Arc::from("c"), born_ms: 1 };
     let received = LogPosition::new(1, 9);
     let leads = InstanceStatus { role: InstanceRole::Primary, term: 2, received };
-    failover.change.record_status(key, Some(leads));
+    failover.change.record_status(key, START, Some(leads));
     let steps = failover.steps_after(Duration::from_secs(8));
     assert_eq!(steps, [TermStep::Start { drained: true }]);
 }
