Ignore a former leader's notice that databases are silent

A notice that a primary had sent no announcement for too long, held up by the network, reached the next leader, to which the primary had announced itself meanwhile. The next leader forgot it, and replaced it if its term was older than the time for which a database may be silent.

Change: a control host heeds such a notice only from the leader that it follows.

late_notice_of_a_former_leader_replaces_no_primary failed before (the primary was replaced) and passes now.

--- a/crates/decisions/src/control_role/control_host_state.rs
+++ b/crates/decisions/src/control_role/control_host_state.rs
@@ -293,7 +293,7 @@
             ControlMessage::Peers(peers) => peers.into_iter().for_each(|p| self.add_peer(p)),
             ControlMessage::Announced(records) => self.apply_announcements(now, records),
             ControlMessage::Departed(departures) => self.apply_departures(now, departures),
-            ControlMessage::Expired(departures) => self.apply_expirations(departures),
+            ControlMessage::Expired(departures) => self.apply_expirations(from, departures),
         }
     }
 
--- a/crates/decisions/src/control_role/directory_flow.rs
+++ b/crates/decisions/src/control_role/directory_flow.rs
@@ -2,6 +2,7 @@
 use crate::{
     clock::Moment,
     control_state::ControlCommand,
+    identity::HostId,
     instances::{DirectoryChange, InstanceDeparture, InstanceRecord, InstanceRole},
 };
 
@@ -142,7 +143,12 @@
         }
     }
 
-    pub(super) fn apply_expirations(&mut self, departures: Vec<InstanceDeparture>) {
+    /// Forgets the databases that the leader has found silent. A notice of a former leader is
+    /// ignored: they may have announced themselves since.
+    pub(super) fn apply_expirations(&mut self, from: HostId, departures: Vec<InstanceDeparture>) {
+        if self.leader_elsewhere() != Some(from) {
+            return;
+        }
         for departure in &departures {
             self.directory.remove(departure);
         }
--- a/crates/decisions/tests/primary_changes.rs
+++ b/crates/decisions/tests/primary_changes.rs
@@ -7,7 +7,7 @@
 
 use control_world::{ControlWorld, departure_of, instance};
 use hawthornstack_decisions::{
-    control_role::{ControlEvent, EntryHello, EntryReport, EntryUpdate},
+    control_role::{ControlEvent, ControlMessage, EntryHello, EntryReport, EntryUpdate},
     identity::HostId,
     instances::{InstanceRecord, InstanceRole},
     primaries::{ServiceTerm, TermPhase},
@@ -338,6 +338,24 @@
     }
 }
 
+/// A former leader's notice that a database was silent arrived late: the primary, which had
+/// announced itself to the next leader, was replaced.
+#[test]
+fn late_notice_of_a_former_leader_replaces_no_primary() {
+    let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
+    for _ in 0..15 {
+        run_with_renewals(&mut world, leader, SECOND);
+        world.repeat_announcements(leader);
+    }
+    let former = [1, 2, 3].map(HostId).into_iter().find(|host| *host != leader).expect("a host");
+    let silent = vec![departure_of(&instance("a", 1, InstanceRole::Primary))];
+    world.handle_event(leader, ControlEvent::Peer(former, ControlMessage::Expired(silent)));
+    run_with_renewals(&mut world, leader, SECOND);
+    let term = term(&world, leader);
+    assert_eq!((&*term.primary.id, term.number), ("a", 1));
+    assert!(term.is_steady());
+}
+
 #[test]
 fn departed_primary_is_replaced() {
     let (mut world, leader) = world_with_service(&[FIRST_ENTRY]);
