Count a statement as ended also if a gateway gives it up

Since gateways give up the writes of a host that has closed its connection, the future of such a statement is dropped at its gateway, and the database kept counting it as outstanding there: each one would have made the gateway prefer other databases a little more.

Change: the count is kept by a guard, which takes the statement off when it is dropped. Found in reading the change; no test shows it, as the count is not visible from outside of the host.

--- a/crates/daemon/src/entry_role/entry_shared.rs
+++ b/crates/daemon/src/entry_role/entry_shared.rs
@@ -13,7 +13,7 @@
         DatabasePath, EntryView, GatewayLoad, LargestWorkspaces, PathInputs, choose_gateway,
     },
     identity::HostId,
-    instances::InstanceRecord,
+    instances::{InstanceKey, InstanceRecord},
 };
 use opentelemetry::KeyValue;
 use tokio::sync::{Notify, mpsc};
@@ -374,3 +374,25 @@
         }
     }
 }
+
+/// Counts a statement as outstanding at a database until it is dropped, also if the statement is
+/// given up.
+pub(super) struct LoadGuard {
+    shared: Rc<EntryShared>,
+    key: InstanceKey,
+    /// Time that the answer took, if there was one.
+    pub(super) latency: Option<Duration>,
+}
+
+impl LoadGuard {
+    pub(super) fn start(shared: &Rc<EntryShared>, key: &InstanceKey) -> Self {
+        shared.view.borrow_mut().loads.record_start(key);
+        Self { shared: shared.clone(), key: key.clone(), latency: None }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.shared.view.borrow_mut().loads.record_finish(&self.key, self.latency);
+    }
+}
--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -11,7 +11,7 @@
 use super::{
     caller_admission::AdmissionCheck,
     database_pool::AcquireError,
-    entry_shared::{EntryShared, WriteGuard},
+    entry_shared::{EntryShared, LoadGuard, WriteGuard},
     pooled_link::PooledLink,
     primary_probe::probe_primary,
     request_trace::{RequestTrace, TraceStep},
@@ -312,7 +312,7 @@
         return Err(LinkError::Broken);
     };
     let sent_at = shared.now();
-    key.into_iter().for_each(|key| shared.view.borrow_mut().loads.record_start(key));
+    let mut load = key.map(|key| LoadGuard::start(shared, key));
     let exchange = link.exchange(&*shared.upstreams, out, restore_count);
     let result = watch_exchange(shared, &service, term_number, deadline, exchange).await;
     let now = shared.now();
@@ -329,9 +329,10 @@
             shared.record_gateway_answer(&target, gateway, now.since(sent_at), busy);
         }
     }
+    load.iter_mut().for_each(|load| load.latency = result.is_ok().then(|| now.since(sent_at)));
+    drop(load);
     if let Some(key) = key {
         let mut view = shared.view.borrow_mut();
-        view.loads.record_finish(key, result.is_ok().then(|| now.since(sent_at)));
         if let Ok(answer) = &result {
             record_answer(&mut view, now, key, answer);
             if let Some((term, position)) = connection.sampled_term.zip(answer.position) {
