Compute the lead once a step, and end the calls of a service in one place

Each step of a control host looked for the quorum's last contact twice, for the calls to the platform and for whether the host is connected; both use one value now. The calls of another choice end through `PromotionCalls::end`, which did the same. No behaviour changes.

--- a/crates/daemon/src/control_role/control_service.rs
+++ b/crates/daemon/src/control_role/control_service.rs
@@ -266,11 +266,12 @@
     fn step(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         let effects = self.host.step(now, event);
-        self.promotions.follow_lead(self.host.lead(now));
+        let lead = self.host.lead(now);
+        self.promotions.follow_lead(lead);
         effects.into_iter().for_each(|effect| self.execute_effect(effect));
         let agreement = self.host.agreement();
         let connected = match agreement.is_leader() {
-            true => self.host.is_current_leader(self.clock.now()),
+            true => lead.is_some(),
             false => agreement.leader().is_some(),
         };
         self.connected.set(connected);
--- a/crates/daemon/src/control_role/promotion_calls.rs
+++ b/crates/daemon/src/control_role/promotion_calls.rs
@@ -72,13 +72,11 @@
         key: &InstanceKey,
         fence: u64,
     ) -> Option<impl Future<Output = PromoteResult> + use<>> {
-        let is_other = |(chosen, _): &(InstanceKey, _)| chosen != key;
-        let active = self.lead.as_mut().filter(|active| active.lead.get().term == fence)?;
-        if active.choices.get(service).is_some_and(is_other)
-            && let Some((_, revoked)) = active.choices.remove(service)
-        {
-            revoked.cancel();
+        let active = self.lead.as_ref().filter(|active| active.lead.get().term == fence)?;
+        if active.choices.get(service).is_some_and(|(chosen, _)| chosen != key) {
+            self.end(service);
         }
+        let active = self.lead.as_mut()?;
         let (_, revoked) = active
             .choices
             .entry(service.clone())
