Count the wait for a connection with the guard of outstanding statements

The wait for a connection counted its start and its end by hand, beside the guard that a statement's exchange uses. It uses the guard as well; a wait that is dropped is taken off the count, which happened at the end of the host only.

--- a/crates/daemon/src/entry_role/statement_run.rs
+++ b/crates/daemon/src/entry_role/statement_run.rs
@@ -179,13 +179,9 @@
             }
             continue;
         }
-        if let Some(key) = &instance {
-            shared.view.borrow_mut().loads.record_start(key);
-        }
+        let load = instance.as_ref().map(|key| LoadGuard::start(shared, key));
         let acquired = pool.acquire(shared, statement, limits.workspace(), until).await;
-        if let Some(key) = &instance {
-            shared.view.borrow_mut().loads.record_finish(key, None);
-        }
+        drop(load);
         let (at, got) = (shared.now(), acquired.is_ok());
         trace.record(at, TraceStep::Queued { waited: at.since(now), got });
         match acquired {
