--- a/crates/daemon/src/edges/caller_protocol.rs
+++ b/crates/daemon/src/edges/caller_protocol.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use hawthornstack_decisions::{
-    entry_role::PreparedStatement, identity::CallerKey, positions::LogPosition,
+    entry_role::{PreparedStatement, SessionState},
+    identity::CallerKey,
+    positions::LogPosition,
 };
 use snafu::Snafu;
 
@@ -78,6 +80,19 @@
     pub action: StatementAction,
 }
 
+impl CallerStatement {
+    /// True if the statement, or the prepared statement that it executes, writes.
+    pub fn writes(&self, session: &SessionState) -> bool {
+        match &self.action {
+            StatementAction::Write => true,
+            StatementAction::Execute { name, .. } => {
+                session.prepared.get(name).is_some_and(|prepared| prepared.writes)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// One message of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerRequest {
--- a/crates/daemon/src/entry_role/caller_session.rs
+++ b/crates/daemon/src/entry_role/caller_session.rs
@@ -268,13 +268,7 @@
 
     /// True if the statement, or the prepared statement that it executes, writes.
     pub(super) fn is_write(&self, statement: &CallerStatement) -> bool {
-        match &statement.action {
-            StatementAction::Write => true,
-            StatementAction::Execute { name, .. } => {
-                self.state.prepared.get(name).is_some_and(|prepared| prepared.writes)
-            }
-            _ => false,
-        }
+        statement.writes(&self.state)
     }
 
     /// Runs a statement outside a transaction.
--- a/crates/daemon/src/entry_role/forward_task.rs
+++ b/crates/daemon/src/entry_role/forward_task.rs
@@ -236,15 +236,8 @@
 
     /// True if the statement commits a write: outside a transaction, or as its end.
     fn may_commit(&self, statement: &CallerStatement) -> bool {
-        match &statement.action {
-            StatementAction::Write => self.pinned.is_none(),
-            StatementAction::Execute { name, .. } => {
-                let writes = self.state.prepared.get(name).is_some_and(|prepared| prepared.writes);
-                writes && self.pinned.is_none()
-            }
-            StatementAction::Commit => true,
-            _ => false,
-        }
+        let commits = statement.action == StatementAction::Commit;
+        commits || (self.pinned.is_none() && statement.writes(&self.state))
     }
 
     fn encode_done(&self, out: &mut Vec<u8>) {
